Hold answers' field lines to the rule that a name ends at its colon

From 3.5 s on servers send broken answers of some fifteen forms: two lengths, lengths under 0, 'HTTP/1.1 OK 200', 'ICY 200 OK', heads of over 100 kB, bad chunks, noise. All of these ended as failed attempts but for one form: 'HTTP/1.1 200 OK' with a field line 'no colon here'.

Ruled out: answers crossed between requests (each client had the body that came on the connection of its own attempt), cut or over-long bodies, and unreadable load reports, whose answers are sound.

Fault: ServerPool's pipeline, `new HttpClientCodec()`. Netty ends a field name of an answer (not of a request) at a blank too, then looks for a colon and takes none found for an empty value. The watch on discovery read its heads the same way.

Mend: a codec of our own for both, whose decoder refuses a name that is not followed by its colon, in heads and in trailers.

--- a/src/main/java/kitemux/node/Discovery.java
+++ b/src/main/java/kitemux/node/Discovery.java
@@ -22,7 +22,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
@@ -70,7 +69,7 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec());
+                        channel.pipeline().addLast(new StrictClientCodec());
                     }
                 });
     }
--- a/src/main/java/kitemux/node/Rehearsal.java
+++ b/src/main/java/kitemux/node/Rehearsal.java
@@ -22,7 +22,6 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
@@ -89,7 +88,7 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel channel) {
-                ChannelHandler codec = server ? new HttpServerCodec() : new HttpClientCodec();
+                ChannelHandler codec = server ? new HttpServerCodec() : new StrictClientCodec();
                 channel.pipeline().addLast(codec, new HttpObjectAggregator(Node.MOST_BODY),
                         server ? new FarServer() : new FarClient());
             }
--- a/src/main/java/kitemux/node/ServerPool.java
+++ b/src/main/java/kitemux/node/ServerPool.java
@@ -20,7 +20,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -66,7 +65,7 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec());
+                        channel.pipeline().addLast(new StrictClientCodec());
                     }
                 });
     }
--- a/src/test/java/kitemux/node/DiscoveryTest.java
+++ b/src/test/java/kitemux/node/DiscoveryTest.java
@@ -83,6 +83,18 @@
         }
     }
 
+    @Test
+    void aHeadThatCannotBeReadBreaksTheWatch() throws Exception {
+        BlockingQueue<String> told = new LinkedBlockingQueue<>();
+        try (FarServer discovery = new FarServer((request, peer) -> peer.write(
+                Site.watchHead().replace("OK\r\n", "OK\r\nno colon here\r\n")
+                + Site.chunk(Site.list(42, false, ENTRY) + "\n")));
+                Site site = new Site(discovery)) {
+            watch(site, Discovery.MOST_SILENCE_US, told);
+            assertEquals("failed", FarServer.next(told));
+        }
+    }
+
     @Test
     void aSilentWatchIsBroken() throws Exception {
         try (Site site = Site.quiet()) {
--- a/src/test/java/kitemux/node/ServerPoolTest.java
+++ b/src/test/java/kitemux/node/ServerPoolTest.java
@@ -56,6 +56,10 @@
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n",
         "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n",
         "what is this\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 1\r\n\r\nx",
+        "HTTP/1.1 200 OK\r\n: no name\r\nContent-Length: 1\r\n\r\nx",
+        "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\nx",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nno colon here\r\n\r\n",
     })
     void aBadAnswerMayHaveRunAndIsNeverServed(String answer) throws Exception {
         try (FarServer bad = new FarServer((request, peer) -> {
