Let the rehearsal finish on a part of a core instead of cutting it at 500 ms

Evidence: a request of that stretch lay 1.04 s between its arrival on the node's socket and its first attempt, while the module was told of 71 ms: it waited unread. Each node used all of its half core (0.50 s in a second) for the first 2.5 s after it was ready, about 60% in the event loop and 40% in the compiler's threads; the same load took 0.14 of a core from 4 s on. So the code was cold, which is what the rehearsal is there for.

Fault: Rehearsal.MOST_MS. It is 6 s now, room for a quarter of a core; the number of requests stays at 600. What a start that is cut short has played is logged.

--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -136,7 +136,10 @@
             return;
         }
         EventLoop loop = newLoop();
-        Rehearsal.play(config, loop);
+        long rehearsed = Rehearsal.play(config, loop);
+        if (rehearsed < Rehearsal.REQUESTS) {
+            Log.line("rehearsal cut short after " + rehearsed + " of " + Rehearsal.REQUESTS + " requests");
+        }
         Node node = new Node(config, loop);
         ChannelFuture listening = node.start().awaitUninterruptibly();
         if (!listening.isSuccess()) {
--- a/src/main/java/kitemux/node/Rehearsal.java
+++ b/src/main/java/kitemux/node/Rehearsal.java
@@ -40,10 +40,13 @@
  * time in the first second, and requests ran out of time unanswered.
  */
 final class Rehearsal {
-    private static final int REQUESTS = 600;
+    static final int REQUESTS = 600;
     private static final int CLIENTS = 4;
-    /** A start must not wait for longer, however little CPU there is. */
-    private static final long MOST_MS = 500;
+    /**
+     * A start must not wait for longer, however little CPU there is: all requests took 2.4 s on half a core,
+     * nearly all of it cold code, and a node that listens before that does the same with clients waiting.
+     */
+    private static final long MOST_MS = 6_000;
 
     private final EventLoop loop;
     private final List<RequestClass> classes;
--- a/src/test/java/kitemux/node/RehearsalTest.java
+++ b/src/test/java/kitemux/node/RehearsalTest.java
@@ -6,6 +6,8 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
 import org.junit.jupiter.api.Test;
 
@@ -20,6 +22,16 @@
         }
     }
 
+    @Test
+    void littleCpuDoesNotCutItShort() throws Exception {
+        try (Site site = Site.quiet()) {
+            // The loop stands still for most of the time, as it does where the process has a part of a core.
+            site.loop.scheduleWithFixedDelay(() -> LockSupport.parkNanos(2_000_000), 0, 1,
+                    TimeUnit.MICROSECONDS);
+            assertEquals(Rehearsal.REQUESTS, Rehearsal.play(site.config(Site.list(1, true)), site.loop));
+        }
+    }
+
     @Test
     void aNodeThatIsClosedLeavesNothingOpen() throws Exception {
         try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
