Open a watch on discovery where the list is pushed, and keep it open

Symptom: a release replaces the app servers one after the other from 3 s on.

Service ended when the last server of the first list was gone.

Ruled out: a watch that broke or was refused (there never was one), a list that could not be read, descriptors (219 of 256, and they fell as the servers went), the slow start (98.9% in time in the first 5 s).

Fault: the only call of Discovery.subscribe() is the module's word, and the module asks only where `membershipMode` is `on_request`. Here it is `pushed`: on the wire changes come without being asked for, so the module is right to wait. To a real node they come by a watch, and none was opened. The node opens it now where the list is pushed, and opens another with a short backoff when it breaks. A closed node closes its watch too.

--- a/src/main/java/kitemux/node/Discovery.java
+++ b/src/main/java/kitemux/node/Discovery.java
@@ -31,7 +31,11 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
 
-/** The watch on discovery's list. When it breaks it says so; asking again is the module's word. */
+/**
+ * The watch on discovery's list. When it breaks it says so. Asking again is the module's word where the list
+ * must be asked for; where changes are pushed, as the settings call it, the watch is what they come by and
+ * is kept open here.
+ */
 final class Discovery {
     /** What the watch tells. */
     interface Listener {
@@ -43,6 +47,9 @@
     /** Discovery writes every 2 s. Three beats missed: a watch that is silent for so long is broken. */
     static final long MOST_SILENCE_US = 7_000_000;
     private static final int CONNECT_TIMEOUT_MS = 2_000;
+    /** First wait before a kept watch is opened again, doubled with each failure, and the longest. */
+    private static final long BACKOFF_MS = 50;
+    private static final long MOST_BACKOFF_MS = 1_000;
     /** No list is so long; a line without an end must not fill the memory. */
     private static final int MOST_LINE = 4 << 20;
 
@@ -55,6 +62,9 @@
     private final ObjectMapper json = new ObjectMapper();
     private long rev;
     private Watch current;
+    private boolean kept;
+    private long backoffMs = BACKOFF_MS;
+    private Future<?> again;
 
     Discovery(EventLoop loop, NodeConfig config, long mostSilenceUs, Listener listener) {
         this.loop = loop;
@@ -74,6 +84,29 @@
                 });
     }
 
+    /** Keeps a watch open from now on. */
+    void keepSubscribed() {
+        kept = true;
+        subscribe();
+    }
+
+    /** Ends the watch and opens no other. */
+    void close() {
+        kept = false;
+        if (again != null) {
+            again.cancel(false);
+        }
+        if (current != null) {
+            current.end();
+            current = null;
+        }
+    }
+
+    private void openAgain() {
+        again = loop.schedule(this::subscribe, backoffMs, TimeUnit.MILLISECONDS);
+        backoffMs = Math.min(MOST_BACKOFF_MS, 2 * backoffMs);
+    }
+
     /** Opens a watch for all that changed since the last list; it takes the place of an earlier one. */
     void subscribe() {
         if (current != null) {
@@ -123,6 +156,9 @@
                 end();
                 current = null;
                 listener.failed(reason);
+                if (kept) {
+                    openAgain();
+                }
             }
         }
 
@@ -176,6 +212,7 @@
             }
             if (list != null) {
                 told = true;
+                backoffMs = BACKOFF_MS;
                 rev = list.rev();
                 listener.listed(list);
             }
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -164,7 +164,12 @@
 
     /** Begins to serve; the future is done once clients can connect. */
     ChannelFuture start() {
-        loop.execute(() -> list(config.known(), ListKind.CACHED));
+        loop.execute(() -> {
+            list(config.known(), ListKind.CACHED);
+            if (config.discovery() != null && !config.settings().listOnRequest) {
+                discovery.keepSubscribed();
+            }
+        });
         housekeeping = loop.scheduleAtFixedRate(() -> {
             pool.closeOld();
             clients.closeOld();
@@ -186,6 +191,7 @@
             }
             clients.close();
             pool.close();
+            discovery.close();
         });
     }
 
--- a/src/main/java/kitemux/node/NodeConfig.java
+++ b/src/main/java/kitemux/node/NodeConfig.java
@@ -21,7 +21,7 @@
  * What a node is told at its start, by the environment and the configuration file.
  *
  * @param listen where clients connect
- * @param discovery where the server list is had
+ * @param discovery where the server list is had; null for a node apart
  * @param seed for random numbers, new with each start
  * @param sockets how many descriptors the process may hold
  * @param connIdleUs after so long servers close idle connections
@@ -108,7 +108,7 @@
         apart.tenants.addAll(settings.tenants);
         apart.maxAttempts = settings.maxAttempts;
         apart.cancel = settings.cancel;
-        return new NodeConfig(new InetSocketAddress(listen.getAddress(), 0), discovery, seed, sockets,
+        return new NodeConfig(new InetSocketAddress(listen.getAddress(), 0), null, seed, sockets,
                 connIdleUs, servers, apart);
     }
 
--- a/src/test/java/kitemux/node/DiscoveryTest.java
+++ b/src/test/java/kitemux/node/DiscoveryTest.java
@@ -118,4 +118,37 @@
             assertEquals(2, calls.get());
         }
     }
+
+    @Test
+    void changesThatArePushedComeByAWatchThatTheNodeKeepsOpen() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        try (FarServer first = FarServer.serving("first"); FarServer second = FarServer.serving("second");
+                FarServer discovery = new FarServer((request, peer) -> {
+                    FarServer server = calls.getAndIncrement() == 0 ? first : second;
+                    peer.write(Site.watchHead() + Site.chunk(Site.list(1 + calls.get(), true,
+                            "s" + calls.get() + "=" + server.endpoint() + "=Ready") + "\n"));
+                });
+                Site site = new Site(discovery)) {
+            site.settings.listOnRequest = false;
+            site.startKnowing(Site.list(1, true));
+            assertEquals("/discovery/hosts?watch=1&after=1", FarServer.next(discovery.requests).path());
+            assertEquals("first", site.ask(Http.page("/api/p", "t", "5000m")).body());
+            FarServer.next(discovery.peers).socket().close();
+            assertEquals("/discovery/hosts?watch=1&after=2", FarServer.next(discovery.requests).path());
+            // The node reads the new list before it can end the old server's connection.
+            FarServer.next(first.ended);
+            assertEquals("second", site.ask(Http.page("/api/p", "u", "5000m")).body());
+        }
+    }
+
+    @Test
+    void aClosedNodeLeavesNoWatchOpen() throws Exception {
+        try (Site site = Site.quiet()) {
+            site.settings.listOnRequest = false;
+            site.startKnowing(Site.list(1, true));
+            FarServer.next(site.discovery.requests);
+            site.node.close();
+            FarServer.next(site.discovery.ended);
+        }
+    }
 }
