--- a/src/test/java/kitemux/node/Site.java
+++ b/src/test/java/kitemux/node/Site.java
@@ -1,5 +1,7 @@
 package kitemux.node;
 
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -7,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -107,6 +110,20 @@
         return client;
     }
 
+    /** Waits until connections are refused: the system closes a listener with the loop's next select. */
+    void awaitRefusal() {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        while (true) {
+            try {
+                connect();
+            } catch (IOException e) {
+                return;
+            }
+            assertTrue(System.nanoTime() < end, "connections are still accepted");
+            Thread.onSpinWait();
+        }
+    }
+
     static Http.Message ask(Socket client, String request) throws IOException {
         write(client, request);
         return Http.read(client.getInputStream());
