Survive SIGHUP and follow discovery to the address in the replaced file

Nothing handled the signal: the JVM's default ended the node, which counts as a crash. Seen with the handler taken out: the program is gone before it says a word on the file (NodeTest.sighupMovesTheWatch... fails so).

Now the file is read again and the watch goes on at the new address at once, asking for what changed since the last list. The environment's PROXY_DISCOVERY holds at the start only, as it cannot change. A file that cannot be read is named in a line, and all stays as it is. The handler is set before the rehearsal, so that the signal cannot find a node without it once it serves.

--- a/src/main/java/kitemux/node/Discovery.java
+++ b/src/main/java/kitemux/node/Discovery.java
@@ -54,12 +54,12 @@
     private static final int MOST_LINE = 4 << 20;
 
     private final EventLoop loop;
-    private final InetSocketAddress address;
     private final List<String> zones;
     private final long mostSilenceUs;
     private final Listener listener;
     private final Bootstrap dialer;
     private final ObjectMapper json = new ObjectMapper();
+    private InetSocketAddress address;
     private long rev;
     private Watch current;
     private boolean kept;
@@ -90,9 +90,21 @@
         subscribe();
     }
 
+    /** Discovery has moved: a watch that is open, or about to be opened again, goes on there at once. */
+    void moveTo(InetSocketAddress to) {
+        address = to;
+        if (kept || current != null) {
+            subscribe();
+        }
+    }
+
     /** Ends the watch and opens no other. */
     void close() {
         kept = false;
+        endCurrent();
+    }
+
+    private void endCurrent() {
         if (again != null) {
             again.cancel(false);
         }
@@ -109,9 +121,7 @@
 
     /** Opens a watch for all that changed since the last list; it takes the place of an earlier one. */
     void subscribe() {
-        if (current != null) {
-            current.end();
-        }
+        endCurrent();
         Watch watch = new Watch();
         current = watch;
         ChannelFuture opening = dialer.connect(address);
--- /dev/null
+++ b/src/main/java/kitemux/node/HangUp.java
@@ -0,0 +1,29 @@
+package kitemux.node;
+
+import java.lang.reflect.Proxy;
+
+/**
+ * SIGHUP, by which the platform says that the configuration file has been replaced; left alone it would end
+ * the process. The JDK tells of it by sun.misc.Signal only, which it exports; called by name, as the compiler
+ * warns of that package and lets nobody suppress it.
+ */
+final class HangUp {
+    private HangUp() { }
+
+    /** Runs this, on a thread of its own, each time that the signal comes. */
+    static void handle(Runnable reload) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object reloader = Proxy.newProxyInstance(HangUp.class.getClassLoader(), new Class<?>[] {handler},
+                    (proxy, method, args) -> {
+                        reload.run();
+                        return null;
+                    });
+            signal.getMethod("handle", signal, handler)
+                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), reloader);
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException("SIGHUP cannot be handled", e);
+        }
+    }
+}
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -1,5 +1,6 @@
 package kitemux.node;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -136,11 +137,12 @@
             return;
         }
         EventLoop loop = newLoop();
+        Node node = new Node(config, loop);
+        HangUp.handle(() -> node.reload(env));
         long rehearsed = Rehearsal.play(config, loop);
         if (rehearsed < Rehearsal.REQUESTS) {
             Log.line("rehearsal cut short after " + rehearsed + " of " + Rehearsal.REQUESTS + " requests");
         }
-        Node node = new Node(config, loop);
         ChannelFuture listening = node.start().awaitUninterruptibly();
         if (!listening.isSuccess()) {
             System.err.println("kitemux: listen " + config.listen() + ": " + listening.cause().getMessage());
@@ -177,6 +179,17 @@
         return clients.listen(config.listen());
     }
 
+    /** Follows discovery to where the file now says it is. All else in the file holds from the next start. */
+    private void reload(Map<String, String> env) {
+        try {
+            InetSocketAddress address = NodeConfig.discoveryNow(env);
+            Log.line("discovery is at " + address);
+            loop.execute(() -> discovery.moveTo(address));
+        } catch (ConfigException e) {
+            Log.line("kitemux: reload: " + e.getMessage());
+        }
+    }
+
     /** Says no to the front, serves what still comes, and calls back once nothing is held. */
     void drain(Runnable whenEmpty) {
         loop.execute(() -> clients.drain(whenEmpty));
--- a/src/main/java/kitemux/node/NodeConfig.java
+++ b/src/main/java/kitemux/node/NodeConfig.java
@@ -36,18 +36,7 @@
 
     /** The environment's addresses hold where they are set; all else is in the file that it names. */
     static NodeConfig read(Map<String, String> env) throws ConfigException {
-        String path = env.getOrDefault("PROXY_CONFIG", "");
-        if (path.isEmpty()) {
-            throw new ConfigException("PROXY_CONFIG", "is not set");
-        }
-        JsonNode json;
-        try {
-            json = new ObjectMapper().readTree(new File(path));
-        } catch (JsonProcessingException e) {
-            throw new ConfigException("PROXY_CONFIG", "is not JSON: " + e.getOriginalMessage());
-        } catch (IOException e) {
-            throw new ConfigException("PROXY_CONFIG", "cannot be read: " + e.getMessage());
-        }
+        JsonNode json = file(env);
         if (!json.isObject() || !json.path("settings").isObject()) {
             throw new ConfigException("settings", "is missing or not an object");
         }
@@ -67,6 +56,25 @@
                 settings);
     }
 
+    /** Where discovery is by the file as it stands; the environment tells only where it was at the start. */
+    static InetSocketAddress discoveryNow(Map<String, String> env) throws ConfigException {
+        return address("discovery", file(env).path("discovery").asText());
+    }
+
+    private static JsonNode file(Map<String, String> env) throws ConfigException {
+        String path = env.getOrDefault("PROXY_CONFIG", "");
+        if (path.isEmpty()) {
+            throw new ConfigException("PROXY_CONFIG", "is not set");
+        }
+        try {
+            return new ObjectMapper().readTree(new File(path));
+        } catch (JsonProcessingException e) {
+            throw new ConfigException("PROXY_CONFIG", "is not JSON: " + e.getOriginalMessage());
+        } catch (IOException e) {
+            throw new ConfigException("PROXY_CONFIG", "cannot be read: " + e.getMessage());
+        }
+    }
+
     private static Settings settings(JsonNode json) throws ConfigException {
         Map<String, String> flat = new HashMap<>();
         flatten("", json, flat);
--- a/src/test/java/kitemux/node/NodeTest.java
+++ b/src/test/java/kitemux/node/NodeTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.Proxy;
 import java.nio.file.Files;
@@ -51,25 +52,70 @@
         }
     }
 
-    @Test
-    void theProgramEndsOnSigtermOnceNothingIsHeld(@TempDir Path folder) throws Exception {
-        Path config = Files.writeString(folder.resolve("config.json"), """
-                {"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1","limits":{"sockets":256},
+    private static String config(String discovery) {
+        return """
+                {"listen":"127.0.0.1:0","discovery":"%s","seed":"1","limits":{"sockets":256},
                  "settings":{"classes":[{"name":"page","onTimeUs":100000,"giveUpUs":500000,"repeat":"safe"}]}}
-                """);
+                """.formatted(discovery);
+    }
+
+    /** The program itself, started with this configuration and, as in service, told of discovery twice. */
+    private static Process program(Path config, String discovery) throws IOException {
         String java = ProcessHandle.current().info().command().orElseThrow();
         ProcessBuilder builder = new ProcessBuilder(java, "-XX:TieredStopAtLevel=1", "-cp",
                 System.getProperty("java.class.path"), Main.class.getName(), "node");
         builder.environment().put("PROXY_CONFIG", config.toString());
-        Process process = builder.redirectErrorStream(true).start();
+        builder.environment().put("PROXY_DISCOVERY", discovery);
+        return builder.redirectErrorStream(true).start();
+    }
+
+    private static void hangUp(Process process) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+    }
+
+    private static void endsOnSigterm(Process process) throws InterruptedException {
+        process.destroy();
+        assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+        assertEquals(143, process.exitValue(), "ended by SIGTERM in good order");
+    }
+
+    @Test
+    void theProgramEndsOnSigtermOnceNothingIsHeld(@TempDir Path folder) throws Exception {
+        Path file = Files.writeString(folder.resolve("config.json"), config("127.0.0.1:9"));
+        Process process = program(file, "127.0.0.1:9");
         try {
             String ready = process.inputReader().readLine();
             assertTrue(ready.startsWith("listening on "), ready);
-            process.destroy();
-            assertTrue(process.waitFor(20, TimeUnit.SECONDS));
-            assertEquals(143, process.exitValue(), "ended by SIGTERM in good order");
+            endsOnSigterm(process);
         } finally {
             process.destroyForcibly();
         }
     }
+
+    @Test
+    void sighupMovesTheWatchToWhereTheFileSaysDiscoveryIs(@TempDir Path folder) throws Exception {
+        try (FarServer before = new FarServer((request, peer) -> peer.write(Site.watchHead()));
+                FarServer after = new FarServer((request, peer) -> peer.write(Site.watchHead()))) {
+            Path file = Files.writeString(folder.resolve("config.json"), config(before.endpoint()));
+            Process process = program(file, before.endpoint());
+            try {
+                FarServer.next(before.requests);
+                Files.writeString(file, "{");
+                hangUp(process);
+                String line = process.inputReader().readLine();
+                while (!line.contains("reload")) {
+                    line = process.inputReader().readLine();
+                }
+                assertTrue(line.startsWith("kitemux: reload: PROXY_CONFIG is not JSON"), line);
+                assertTrue(before.ended.isEmpty(), "a file that cannot be read changes nothing");
+                Files.writeString(file, config(after.endpoint()));
+                hangUp(process);
+                assertEquals("/discovery/hosts?watch=1&after=0", FarServer.next(after.requests).path());
+                FarServer.next(before.ended);
+                endsOnSigterm(process);
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
 }
