--- a/src/main/java/kitemux/node/ClientServer.java
+++ b/src/main/java/kitemux/node/ClientServer.java
@@ -48,6 +48,8 @@
     private static final long ARRIVING_MS = 500;
     /** A client that has asked nothing for so long makes room for others. */
     private static final long MOST_IDLE_NANOS = TimeUnit.SECONDS.toNanos(120);
+    /** Whoever connects owes a whole request within 3 s, or is owed an end by then; the rest is for the sweep. */
+    private static final long MOST_UNPROVEN_NANOS = TimeUnit.SECONDS.toNanos(2);
     /** Whoever has begun a request and does not end it holds a socket and memory for nothing. */
     private static final long MOST_READING_NANOS = TimeUnit.SECONDS.toNanos(10);
 
@@ -116,7 +118,7 @@
         long now = System.nanoTime();
         for (Client client : new ArrayList<>(clients)) {
             long since = now - client.activeAtNanos;
-            if (client.held == null && since > (client.reading ? MOST_READING_NANOS : MOST_IDLE_NANOS)) {
+            if (client.held == null && since > client.mostSilenceNanos()) {
                 client.channel.close();
             }
         }
@@ -177,6 +179,8 @@
         private boolean busy;
         private boolean keepAlive = true;
         private boolean reading;
+        /** Whether it has asked a request that could be read: it is a client, not just any peer. */
+        private boolean proven;
         private long lingerMs;
         private long activeAtNanos = System.nanoTime();
         /** The request that is open, as the handler knows it. */
@@ -193,10 +197,14 @@
         private void reads() {
             if (!reading) {
                 reading = true;
-                activeAtNanos = System.nanoTime();
+                activeAtNanos = proven ? System.nanoTime() : activeAtNanos;
             }
         }
 
+        private long mostSilenceNanos() {
+            return !proven ? MOST_UNPROVEN_NANOS : reading ? MOST_READING_NANOS : MOST_IDLE_NANOS;
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest message) {
             reading = false;
@@ -227,7 +235,9 @@
                     answer(draining ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK,
                             NO_BODY, 0);
                 } else if (RequestReader.isRequestPath(path)) {
-                    handler.asked(this, reader.read(message));
+                    ClientRequest request = reader.read(message);
+                    proven = true;
+                    handler.asked(this, request);
                 } else {
                     answer(HttpResponseStatus.NOT_FOUND, NO_BODY, 0);
                 }
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -43,7 +43,7 @@
 
     private static final byte[] NO_BODY = {};
     private static final long PROBE_US = 1_000_000;
-    private static final long HOUSEKEEPING_MS = 1_000;
+    private static final long HOUSEKEEPING_MS = 250;
 
     private final NodeConfig config;
     private final EventLoop loop;
--- a/src/test/java/kitemux/node/ClientServerTest.java
+++ b/src/test/java/kitemux/node/ClientServerTest.java
@@ -164,6 +164,24 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "",
+        "GET /api/x HT",
+        "POST /api/x HTTP/1.1\r\nX-Txn: t\r\nX-Lane: order\r\nX-Remaining: 400m\r\nContent-Length: 9\r\n\r\nab",
+    })
+    void aPeerThatAsksNothingWholeIsClosedSoonAndAClientStays(String part) throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+            Socket client = site.connect();
+            assertEquals(200, Site.ask(client, Http.page("t")).status());
+            Socket peer = site.connect();
+            peer.setSoTimeout(8_000);
+            Site.write(peer, part);
+            assertEquals(-1, peer.getInputStream().read());
+            assertEquals(200, Site.ask(client, Http.page("u")).status());
+        }
+    }
+
     @Test
     void clientsLeaveRoomForConnectionsToServers() throws Exception {
         try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
