--- a/src/main/java/kitemux/node/ClientServer.java
+++ b/src/main/java/kitemux/node/ClientServer.java
@@ -20,6 +20,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -322,7 +323,8 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            if (!(cause instanceof IOException)) {
+            // A client that leaves amid its request is no defect of ours either.
+            if (!(cause instanceof IOException) && !(cause instanceof PrematureChannelClosureException)) {
                 Log.error("connection to a client", cause);
             }
             channel.close();
--- a/src/test/java/kitemux/node/ClientServerTest.java
+++ b/src/test/java/kitemux/node/ClientServerTest.java
@@ -4,8 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.PrintStream;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -182,6 +185,24 @@
         }
     }
 
+    @Test
+    void aClientThatLeavesAmidItsRequestIsNotLoggedAsADefect() throws Exception {
+        PrintStream err = System.err;
+        ByteArrayOutputStream said = new ByteArrayOutputStream();
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+            System.setErr(new PrintStream(said, true, StandardCharsets.UTF_8));
+            Socket client = site.connect();
+            Site.write(client, Http.order("t", "400m").replace("Length: 2", "Length: 9"));
+            client.shutdownOutput();
+            assertEquals(-1, client.getInputStream().read());
+            // What the loop still does about the closed connection comes before this.
+            site.loop.submit(() -> { }).sync();
+        } finally {
+            System.setErr(err);
+        }
+        assertFalse(said.toString(StandardCharsets.UTF_8).contains("connection to a client"), said.toString());
+    }
+
     @Test
     void clientsLeaveRoomForConnectionsToServers() throws Exception {
         try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
