--- a/src/main/java/kitemux/node/ClientServer.java
+++ b/src/main/java/kitemux/node/ClientServer.java
@@ -49,7 +49,7 @@
     private static final long ARRIVING_MS = 500;
     /** A client that has asked nothing for so long makes room for others. */
     private static final long MOST_IDLE_NANOS = TimeUnit.SECONDS.toNanos(120);
-    /** Whoever connects owes a whole request within 3 s, or is owed an end by then; the rest is for the sweep. */
+    /** Whoever connects and asks nothing whole is owed an end within 3 s; the rest is for the sweep. */
     private static final long MOST_UNPROVEN_NANOS = TimeUnit.SECONDS.toNanos(2);
     /** Whoever has begun a request and does not end it holds a socket and memory for nothing. */
     private static final long MOST_READING_NANOS = TimeUnit.SECONDS.toNanos(10);
--- a/src/main/java/kitemux/node/Rehearsal.java
+++ b/src/main/java/kitemux/node/Rehearsal.java
@@ -40,7 +40,7 @@
  * time in the first second, and requests ran out of time unanswered.
  */
 final class Rehearsal {
-    /** Enough that code is compiled which each request calls; with 600 a restart took over a second longer. */
+    /** Enough that what each request calls is compiled; with 600 a restart took over a second longer. */
     static final int REQUESTS = 200;
     private static final int CLIENTS = 4;
     /**
