Hand a test its peer only behind what the script has written to it

DiscoveryTest.listsComeInPieces... failed once: FarServer handed out the connection before its script had answered, so that a chunk of the test's could come before the head of the watch and break it. The race was in the inherited test server.

--- a/src/test/java/kitemux/node/FarServer.java
+++ b/src/test/java/kitemux/node/FarServer.java
@@ -80,8 +80,9 @@
             while (true) {
                 Http.Message request = Http.read(peer.socket.getInputStream());
                 requests.add(request);
-                peers.add(peer);
                 script.answer(request, peer);
+                // Only now: what a test writes to the peer must come behind the script's answer.
+                peers.add(peer);
             }
         } catch (IOException e) {
             ended.add(peer);
