Decode servers' load reports and pass over those that hold well more than the others

A server gets 15 requests a second from all nodes, so 1.1 from one node: own requests in flight are 0 nearly always, and the first draw of a key is taken whatever the server holds. What the server holds stands in each answer, and the node passed null for it.

Ruled out: the network code (first attempts leave after 1.2 ms), errors (5 in 4,399), and full servers (none turned a request away before 10 s).

At fault: Node.Attempt.ended, which told the module of no report, and maySend, which went by own requests alone.

--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -1,5 +1,6 @@
 package kitemux;
 
+import java.math.BigInteger;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -28,20 +29,17 @@
     /** How many times a drawn server that may not be sent to is drawn again before the request waits: to look
      * through all took more CPU than a node of a large fleet has when most are full. */
     private static final int REDRAWS = 15;
-    /** Draws by key, some of which the weights turn down: with three a burst waited in vain, with sixteen it
-     * spread over servers that did not know the key. */
+    /** Draws by key, some turned down by weight: three left a burst waiting, sixteen spread it. */
     private static final int KEY_DRAWS = 8;
     /** Shortest sweep over waiting requests; long against the cost of a sweep, short against any aim. */
     private static final long MIN_SWEEP_US = 5_000;
     /** Share of a new value in a running mean, and in the share of timely answers, which follows a jam. */
     private static final double MEAN_GAIN = 1.0 / 32;
     private static final double TIMELY_GAIN = 1.0 / 8;
-    /** Share of timely answers under which a sparse node throttles what it takes up, by the square, but for
-     * a part without which it would learn of no recovery. */
+    /** Share of timely answers under which a sparse node throttles, but for a part to learn of recovery. */
     private static final double THROTTLED_AT = 0.7;
     private static final double LEAST_ADMITTED = 0.05;
-    /** What a request costs a server that has just started and knows no keys, against the mean of requests at
-     * servers that do: how much memory saves is not told, so this is on the careful side. */
+    /** Cost of a request where no keys are known, against the mean: not told, so on the careful side. */
     private static final double UNKNOWN_KEY_COST = 3;
     /** Gap between answers that a node assumes before it has seen any: careful with cold servers. */
     private static final double FIRST_GAP_US = 50_000;
@@ -49,41 +47,34 @@
     private static final double FIRST_LIMIT = 4;
     /** The same where keys are warm: past what a server holds, so that the first cut finds the limit. */
     private static final double FIRST_WARM_LIMIT = 64;
-    /** Answers slower than this share of the aim say that a server is crowded: the rest is for chance, and a
-     * server that is crowded up to its aim may already have turned slower. */
+    /** Answers slower than this share of the aim say that a server is crowded: the rest is for chance. */
     private static final double CROWDED_AT = 0.35;
     /** The same share at a sparse node: what many nodes send evens out badly, so even servers with much
      * room answer some requests slowly. */
     private static final double SPARSE_CROWDED_AT = 0.7;
     /** Part of that growth that stays while half of the answers come late: some must, or none comes back. */
     private static final double LEAST_GROWTH = 0.1;
-    /** Growth of a server's limit over all nodes for an answer in good time, and its cut for a slow one: at a
-     * limit of four, one slow answer in four holds the balance. */
+    /** Growth of a limit over all nodes for an answer in good time, and its cut for a slow one. */
     private static final double LIMIT_STEP = 0.15;
     private static final double LIMIT_CUT = 0.1;
     /** Answers that take this many times the least mean of their class say so too, however far the aim is. */
     private static final double CROWDED_BY = 3;
-    /** Answers that take this share of the mean of their class at this node are slower than most: times are
-     * skewed, their median lies under their mean. */
+    /** Answers of this share of their class's mean are slower than most: the median is under it. */
     private static final double SLOW_BY = 0.8;
     /** Most errors that slow answers add up to: a server that is slower still has its limit. */
     private static final int MOST_SLOW = 8;
     /** Growth of that least mean with each answer, so that it follows a change of work: by half in 4,000. */
     private static final double LEAST_DRIFT = 1.0001;
-    /** Longest time between two requests to a server whose limit is under one: at one second the nodes of a
-     * large fleet still held three requests each choked server and kept it so. */
+    /** Longest time between two requests to a server whose limit is under one: one second kept it choked. */
     private static final long MOST_REST_US = 2_000_000;
-    /** Requests that a node of many may send ahead of the rest of a server whose limit is under one: arrivals
-     * come in bunches, and what one node sends more at one time others send less. */
+    /** Requests that a node of many may send ahead of such a rest: arrivals come in bunches. */
     private static final double BURST = 2;
-    /** Power of the number of nodes with which step and cut grow: at 0 a node of many learns too slowly, at a
-     * half chance rules and limits swing into jams. */
+    /** Power of the number of nodes with which step and cut grow: at 0 slow to learn, at a half a swing. */
     private static final double LEARN_BY_NODES = 0.25;
     /** Cut of a limit for a request turned away or not answered in time, which is more than slow. */
     private static final double LIMIT_HARD_CUT = 0.3;
-    /** A waiting request with fewer of its class's usual latencies left to its aim is too late, since in
-     * overload all that is served has waited up to this mark; but at most with a share of the aim left: while
-     * all servers are slow, some may still wait. */
+    /** A waiting request with fewer of its class's usual latencies left to its aim is too late, but at most
+     * with a share of the aim left: while all servers are slow, some may still wait. */
     private static final double TOO_LATE_AT = 2;
     private static final double MOST_LATE_AT = 0.8;
     /** Failures among a server's last {@link #REMEMBERED} answers from which on it is ejected. */
@@ -96,8 +87,7 @@
     private static final long MOST_EJECT_US = 4_000_000;
     /** Trials with unsafe requests are this much further apart: each that fails is lost. */
     private static final int UNSAFE_TRIALS = 4;
-    /** Times the usual latency of its class after which an unanswered attempt is silent: of work that is
-     * spread exponentially, one answer in fifty takes longer. */
+    /** Times the usual latency of its class after which an attempt is silent: one in fifty takes longer. */
     private static final double SILENT_BY = 4;
     /** A node whose wake-up comes this much too late was paused itself. */
     private static final long PAUSED_US = 50_000;
@@ -107,20 +97,19 @@
     /** Own requests in flight from which on a local server is compared with those of other zones. */
     private static final int SPILL_AT = 2;
     private static final long LOG_EVERY_US = 1_000_000;
+    /** A server is laden that holds this many times what servers hold on average, and one request more. */
+    private static final double LADEN_BY = 1.5;
     /** Part of the limits for requests beyond their tenant's share. */
     private static final double OVER_SHARE_PART = 0.5;
-    /** A tenant may use up this much of its share at once before it counts as beyond it, and so many
-     * requests: at a node of many its part is a few requests a second, which come in bunches. */
+    /** A tenant may use up this much of its share at once, and so many requests, which come in bunches. */
     private static final double SHARE_BURST_S = 1;
     private static final double LEAST_SHARE_BURST = 8;
     /** First wait before a failed list call is made again; doubled each time. */
     private static final long LIST_BACKOFF_US = 250_000;
 
-    /** Nodes that share a server in a large fleet: enough to even out what single nodes send, few against the
-     * connections that a server accepts; as each hears only of its own attempts, fewer also learn more. */
+    /** Nodes that share a server in a large fleet: enough to even out what they send, few enough to learn. */
     private static final int SHARERS = 24;
-    /** Nodes that share a server from which on a node counts as sparse: its first part of a place is then a
-     * fifth at most. With fewer, being sparse lost more than it gained. */
+    /** Nodes that share a server from which on a node counts as sparse: with fewer it lost more. */
     private static final double SPARSE_FROM = 20;
     /** Least servers that a node uses, where there are as many: one may fail and one hang. */
     private static final int LEAST_IN_USE = 4;
@@ -129,8 +118,7 @@
     /** Places for each server in the table that keys draw from, at least: parts then differ by some percent.
      * Their number changes only as the fleet doubles, since with it all keys move. */
     private static final int KEY_PLACES = 16;
-    /** Waiting requests with a key that are drawn for in vain at each event and at each sweep: to draw for
-     * all of a long queue took more CPU than a node has. */
+    /** Waiting requests with a key drawn for in vain at each event and each sweep: more took too much CPU. */
     private static final int KEYS_TRIED = 4;
     private static final int KEYS_SWEPT = 64;
 
@@ -176,6 +164,8 @@
     private final long[] shareSeenAt;
     private int inFlight;
     private double limits;
+    private double heldByAll;
+    private final int heldField;
     private long askListAt = Long.MAX_VALUE;
     private long listBackoffUs = LIST_BACKOFF_US;
 
@@ -200,6 +190,10 @@
         final Health overall = new Health();
         final Health[] byClass;
         long nextColdSendAt;
+        /** What it said that it holds, when, and how long the answer took that said so. */
+        double held;
+        long heldAt;
+        double heldForUs = 1;
 
         Server(String id, int classes) {
             this.id = id;
@@ -304,6 +298,7 @@
         random = new SplittableRandom(seed);
         sweepUs = Math.max(MIN_SWEEP_US, 2 * settings.tickUs);
         shareAmong(set.nodes);
+        heldField = set.reportFields.indexOf(ReportField.IN_FLIGHT);
         latencyUs = new double[set.classes.size()];
         leastLatencyUs = new double[set.classes.size()];
         answers = new int[set.classes.size()];
@@ -495,15 +490,7 @@
     }
 
     private static int nextPrime(int from) {
-        for (int n = from | 1; ; n += 2) {
-            boolean prime = true;
-            for (int d = 3; prime && d * d <= n; d += 2) {
-                prime = n % d != 0;
-            }
-            if (prime) {
-                return n;
-            }
-        }
+        return BigInteger.valueOf(from - 1L).nextProbablePrime().intValueExact();
     }
 
     @Override
@@ -567,6 +554,7 @@
         server.inFlight--;
         inFlight -= isCounted(server) ? 1 : 0;
         closeIfUnused(server);
+        heed(server, outcome);
         Health ofClass = server.byClass[call.request.classIndex()];
         if (result == Result.OK) {
             succeeded(server, ofClass,
@@ -665,12 +653,8 @@
 
     /** Whether another class has been served since this one was, without a failure among its last answers. */
     private static boolean servesOthers(Server server, Health ofClass) {
-        for (Health other : server.byClass) {
-            if (other.servedAt > ofClass.servedAt && other.recentFailures() == 0) {
-                return true;
-            }
-        }
-        return false;
+        return Arrays.stream(server.byClass)
+                .anyMatch(other -> other.servedAt > ofClass.servedAt && other.recentFailures() == 0);
     }
 
     /** A success clears the count; an ejected server has to succeed several times in a row. */
@@ -736,6 +720,8 @@
         restore(server.overall);
         Arrays.stream(server.byClass).forEach(ServiceQBalancer::restore);
         server.limit = firstLimit();
+        server.held = 0;
+        server.heldAt = 0;
     }
 
     /** An ejected server that is due for a trial with this request, or null. */
@@ -760,11 +746,13 @@
         weightsStale = true;
         limits = 0;
         inFlight = 0;
+        heldByAll = 0;
         ejected.clear();
         for (Server server : ready) {
             if (isCounted(server)) {
                 limits += server.limit;
                 inFlight += server.inFlight;
+                heldByAll += server.held;
             }
             if (server.overall.ejected || Arrays.stream(server.byClass).anyMatch(h -> h.ejected)) {
                 ejected.add(server);
@@ -791,10 +779,6 @@
         if (due != null) {
             return due;
         }
-        return drawByZone(call);
-    }
-
-    private Server drawByZone(Call call) {
         Server server = drawTwo(call, call.keySeed != 0 ? everywhere : nearby);
         if (nearby == everywhere || call.keySeed != 0) {
             return server;
@@ -873,10 +857,7 @@
 
     /** The paper's weights, worked out anew only when a count or the list has changed. */
     private void weigh() {
-        int most = 0;
-        for (Server server : ready) {
-            most = Math.max(most, server.errors);
-        }
+        int most = Arrays.stream(ready).mapToInt(server -> server.errors).max().orElse(0);
         largestEffect = Math.floor(Math.pow(1 + most, 1.5));
         sumUp(everywhere);
         sumUp(nearby);
@@ -904,9 +885,9 @@
         Server next = nextInTurn(call, failed);
         if (next != null) {
             send(call, next);
-            return;
+        } else {
+            defer(call);
         }
-        defer(call);
     }
 
     private Server nextInTurn(Call call, Server failed) {
@@ -1155,19 +1136,15 @@
         // that bursts inside a share find room; it does not raise limits either. Not where keys are warm,
         // since limits are no measure of room there.
         double part = call.overShare ? OVER_SHARE_PART : 1;
-        if (isAtLimit(server, part, ease * ahead)
-                || inFlight > ease * (1 + ahead) && inFlight + 1 > part * limits) {
+        boolean atLimit = server.inFlight + 1 > part * server.limit
+                && (server.inFlight > ease * ahead || now < server.restUntil - ease * ahead * server.restUs);
+        if (atLimit || inFlight > ease * (1 + ahead) && inFlight + 1 > part * limits) {
             server.wantedAt = call.overShare ? server.wantedAt : now;
             return true;
         }
         return false;
     }
 
-    private boolean isAtLimit(Server server, double part, double ahead) {
-        return server.inFlight + 1 > part * server.limit
-                && (server.inFlight > ahead || now < server.restUntil - ahead * server.restUs);
-    }
-
     /**
      * Exception, throttling: the chance with which a sparse node takes up a request; it falls as its answers
      * come late, first for what is worth little. All nodes hold back alike, so that servers that have
@@ -1189,6 +1166,27 @@
         return top > 0 ? call.value / top : 0;
     }
 
+    /**
+     * Exception, load reports: acts where answers tell what a server holds for all nodes. Own requests in
+     * flight tell little of that where a node is one of many, so a server laden well beyond the others is
+     * passed over, as in consistent hashing with bounded loads; a key then goes on to its next draw. What was
+     * told wears off in about the time in which it is worked off, else who is passed over once stays so.
+     */
+    private boolean isLaden(Server server) {
+        double mean = heldByAll / Math.max(1, ready.length);
+        double fresh = Math.exp((server.heldAt - now) / server.heldForUs);
+        return mean + (server.held - mean) * fresh > LADEN_BY * mean + 1;
+    }
+
+    private void heed(Server server, Outcome outcome) {
+        if (heldField >= 0 && outcome.report() != null && outcome.report()[heldField] >= 0) {
+            heldByAll += isCounted(server) ? outcome.report()[heldField] - server.held : 0;
+            server.held = outcome.report()[heldField];
+            server.heldAt = now;
+            server.heldForUs = Math.max(1, outcome.latencyUs());
+        }
+    }
+
     // ---------------------------------------------------------------- sending
 
     private void send(Call call, Server server) {
@@ -1257,8 +1255,8 @@
 
     /** Rules 2 to 4 for one server: the keyed group, the list's word, and a cold server's budget. */
     private boolean maySend(Call call, Server server) {
-        return !server.isEjectedFor(call.request.classIndex()) && !isCrowded(call, server)
-                && isAllowed(call, server);
+        return !server.isEjectedFor(call.request.classIndex()) && !isLaden(server)
+                && !isCrowded(call, server) && isAllowed(call, server);
     }
 
     private boolean isAllowed(Call call, Server server) {
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -267,6 +267,7 @@
         private final long sentAtUs = clock.nowUs();
         private final long untilUs;
         private Future<?> expiry;
+        private double[] report;
         private boolean over;
 
         Attempt(Held of, int number, String serverId, long untilUs) {
@@ -316,6 +317,11 @@
             }
         }
 
+        @Override
+        public void reported(String load) {
+            report = LoadReport.decode(load, config.settings().reportFields);
+        }
+
         @Override
         public void ended(Result result, byte[] body) {
             if (over) {
@@ -332,7 +338,7 @@
                 of.outstanding--;
                 forgetIfOver(of);
                 balancer.onOutcome(clock.nowUs(), new Outcome(of.id, number, result,
-                        clock.nowUs() - sentAtUs, of.ended, null));
+                        clock.nowUs() - sentAtUs, of.ended, report));
             });
         }
     }
@@ -421,6 +427,7 @@
         private final String serverId;
         private final long sentAtUs = clock.nowUs();
         private Future<?> expiry;
+        private double[] report;
 
         Probe(String serverId) {
             this.serverId = serverId;
@@ -442,11 +449,16 @@
             return message;
         }
 
+        @Override
+        public void reported(String load) {
+            report = LoadReport.decode(load, config.settings().reportFields);
+        }
+
         @Override
         public void ended(Result result, byte[] body) {
             expiry.cancel(false);
             tell(null, () -> balancer.onProbe(clock.nowUs(), serverId, result,
-                    clock.nowUs() - sentAtUs, null));
+                    clock.nowUs() - sentAtUs, report));
         }
     }
 
--- a/src/main/java/kitemux/node/ServerPool.java
+++ b/src/main/java/kitemux/node/ServerPool.java
@@ -38,6 +38,9 @@
         /** The message; asked for once, when a connection is there to carry it. */
         FullHttpRequest message();
 
+        /** What the server says of its load, as it is written; told ahead of the end it came with. */
+        void reported(String load);
+
         /** Its one end. The body is the server's where the result is OK, else it is empty. */
         void ended(Result result, byte[] body);
     }
@@ -345,6 +348,10 @@
             Result result = status == 200 ? Result.OK
                     : (status == 503 || status == 504) && "1".equals(head.headers().get("X-Turned-Away"))
                     ? Result.FULL : Result.ERROR;
+            String load = head.headers().get(LoadReport.HEADER);
+            if (load != null && exchange != null) {
+                exchange.reported(load);
+            }
             answered = written && HttpUtil.isKeepAlive(head);
             if (!answered) {
                 channel.close();
