Count a server as crowded once what it holds would make the shortest aim late

Clients ask 2.1 to 2.3 times as often.

From 8 s on the median server holds 7 to 9 requests, the upper tenth 12 to 47, at 15 to 20 ms and more each; only 3% report a queue, so no server is full. A limit fell only by an answer slower than 0.7 of its own class's aim: orders that wait 500 ms say that all is well, and every search behind them is late.

Ruled out: full servers and refused connections as the start of it (the first are counted at 10 s, when the median already holds 7).

At fault: adaptLimit, which judged a server by one class at a time. What it reports to hold, times what each held request has taken so far, is what the next one waits; past the shortest aim the limit is cut, whatever the class.

--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -15,14 +15,13 @@
 import java.util.stream.Stream;
 
 /**
- * Every decision of the load balancer. Its interface, meaning all types, events and actions, stands in
- * {@code Balancer.java}.
+ * Every decision of the load balancer. Its interface stands in {@code Balancer.java}.
  *
  * <p>The ordinary path is ServiceQ's: a failed attempt adds one to its server's error count, a success
  * clears it; a first try draws two servers by weights that fall with the count and goes to the one with
  * fewer of this node's own requests in flight; a failure that may be repeated passes to the next server
  * in list order; when nothing can be tried the request waits, first come first served, inside the
- * client's time. Departures are marked "Exception" below and explained in docs/design.md.
+ * client's time. Departures are marked "Exception" and explained below.
  */
 public final class ServiceQBalancer implements Balancer {
 
@@ -99,6 +98,8 @@
     private static final long LOG_EVERY_US = 1_000_000;
     /** A server is laden that holds this many times what servers hold on average, and one request more. */
     private static final double LADEN_BY = 1.5;
+    /** Share of the shortest aim that what a server holds may take to be answered, before it is crowded. */
+    private static final double HELD_AT = 1;
     /** Part of the limits for requests beyond their tenant's share. */
     private static final double OVER_SHARE_PART = 0.5;
     /** A tenant may use up this much of its share at once, and so many requests, which come in bunches. */
@@ -166,6 +167,8 @@
     private double limits;
     private double heldByAll;
     private final int heldField;
+    private final double leastAimUs;
+    private double heldCostUs;
     private long askListAt = Long.MAX_VALUE;
     private long listBackoffUs = LIST_BACKOFF_US;
 
@@ -286,11 +289,7 @@
         }
     }
 
-    /**
-     * A node that has just started and knows nothing.
-     *
-     * @throws IllegalArgumentException if the settings are out of range
-     */
+    /** A node that has just started and knows nothing; throws IllegalArgumentException on bad settings. */
     public ServiceQBalancer(Settings settings, long seed, Actions actions) {
         settings.validate();
         set = settings;
@@ -299,6 +298,7 @@
         sweepUs = Math.max(MIN_SWEEP_US, 2 * settings.tickUs);
         shareAmong(set.nodes);
         heldField = set.reportFields.indexOf(ReportField.IN_FLIGHT);
+        leastAimUs = set.classes.stream().mapToLong(RequestClass::aimUs).min().orElse(0);
         latencyUs = new double[set.classes.size()];
         leastLatencyUs = new double[set.classes.size()];
         answers = new int[set.classes.size()];
@@ -430,12 +430,9 @@
         return Math.min(servers, Math.max(least, (int) Math.ceil(SHARERS * servers / nodes)));
     }
 
-    /**
-     * This node's part of the servers. As in Maglev hashing, the servers take turns in claiming places from a
-     * table of rows, each in an order of its own, and node i has row i modulo their number: all get equally
-     * many, every node finds the same table from the same list, and a change of the list moves few places.
-     * A row for each node took too much CPU as a large fleet grew.
-     */
+    /** This node's part of the servers. As in Maglev hashing, they take turns in claiming places from a table
+     * of rows, and node i has row i modulo their number: all get equally many, every node finds the same table,
+     * and a change of the list moves few places. A row for each node took too much CPU. */
     private List<Server> subset(Server[] from, int size) {
         if (size == from.length) {
             return Arrays.asList(from);
@@ -1023,11 +1020,8 @@
         }
     }
 
-    /**
-     * What a request earns for the work it takes, by which the queue is ordered: its class's worth, less
-     * if its tenant is beyond this node's part of its share, over the usual latency of its class as the
-     * measure of work.
-     */
+    /** What a request earns for its work, by which the queue is ordered: its class's worth, less if its
+     * tenant is beyond this node's part of its share, over the usual latency of its class. */
     private double value(Call call) {
         double worth = call.cls.worth();
         int tenant = call.request.tenant();
@@ -1085,7 +1079,7 @@
             double crowded = Math.min((patient ? SPARSE_CROWDED_AT : CROWDED_AT) * aim, set.warmKeys
                     ? Double.MAX_VALUE : (sparse ? 2 : 1) * CROWDED_BY * leastLatencyUs[c]);
             double rank = sparse ? rank(call) : 1;
-            if (outcome.latencyUs() > crowded) {
+            if (outcome.latencyUs() > crowded || isHeldLong(server)) {
                 cutLimit(call, attempt, limitCut * rank);
             } else if (!left) {
                 // A cold server gets little and is quick with it: were its limit to pass the others', all
@@ -1145,11 +1139,8 @@
         return false;
     }
 
-    /**
-     * Exception, throttling: the chance with which a sparse node takes up a request; it falls as its answers
-     * come late, first for what is worth little. All nodes hold back alike, so that servers that have
-     * choked come to the rest that they need.
-     */
+    /** Exception, throttling: the chance with which a sparse node takes up a request; it falls as its answers
+     * come late, first for what is worth little, so that choked servers come to the rest that they need. */
     private double admitted(Call call) {
         double part = timely / THROTTLED_AT;
         return Math.max(LEAST_ADMITTED, part * part * (0.75 + rank(call) / 2));
@@ -1178,12 +1169,20 @@
         return mean + (server.held - mean) * fresh > LADEN_BY * mean + 1;
     }
 
+    /** Whether a request of the class with the shortest aim would be answered late there. */
+    private boolean isHeldLong(Server server) {
+        return server.heldAt == now && (server.held + 1) * heldCostUs > HELD_AT * leastAimUs;
+    }
+
     private void heed(Server server, Outcome outcome) {
         if (heldField >= 0 && outcome.report() != null && outcome.report()[heldField] >= 0) {
             heldByAll += isCounted(server) ? outcome.report()[heldField] - server.held : 0;
             server.held = outcome.report()[heldField];
             server.heldAt = now;
             server.heldForUs = Math.max(1, outcome.latencyUs());
+            if (outcome.result() == Result.OK) {
+                heldCostUs += MEAN_GAIN * (outcome.latencyUs() / (server.held + 1) - heldCostUs);
+            }
         }
     }
 
--- a/src/test/java/kitemux/LoadReportTest.java
+++ b/src/test/java/kitemux/LoadReportTest.java
@@ -2,11 +2,15 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
 
+import kitemux.Balancer.Group;
 import kitemux.Balancer.Outcome;
+import kitemux.Balancer.Repeat;
 import kitemux.Balancer.ReportField;
+import kitemux.Balancer.RequestClass;
 import kitemux.Balancer.Result;
 import kitemux.Balancer.Settings;
 
@@ -14,10 +18,14 @@
 class LoadReportTest {
     private static final int SERVERS = 20;
     private static final long LATENCY_US = 20_000;
+    /** A class with time enough to wait behind many. */
+    private static final int LEISURELY = 5;
 
     private static Node node() {
         Settings set = Node.settings();
         set.nodes = 14;
+        set.classes.add(new RequestClass("leisurely", 4_000_000, 0, 8_000_000, 1, 0, Repeat.UNSAFE, Group.ALL,
+                0, false));
         set.warmKeys = true;
         set.reportFields.add(ReportField.QUEUED);
         set.reportFields.add(ReportField.IN_FLIGHT);
@@ -25,14 +33,18 @@
     }
 
     /** One request served; its server says that it holds so many. */
-    private static String serve(Node node, String key, double held) {
-        long id = node.askFor(key, Node.UNSAFE);
-        node.advance(LATENCY_US);
-        node.balancer.onOutcome(node.now, new Outcome(id, 0, Result.OK, LATENCY_US, true,
+    private static String serve(Node node, String key, int classIndex, long latencyUs, double held) {
+        long id = node.askFor(key, classIndex);
+        node.advance(latencyUs);
+        node.balancer.onOutcome(node.now, new Outcome(id, 0, Result.OK, latencyUs, true,
                 new double[] {0, held}));
         return node.last(id).server();
     }
 
+    private static String serve(Node node, String key, double held) {
+        return serve(node, key, Node.UNSAFE, LATENCY_US, held);
+    }
+
     private static Node amongServersThatHold(double held) {
         Node node = node();
         for (int k = 0; k < 400; k++) {
@@ -63,6 +75,25 @@
         assertEquals(home, serve(node, "key", 2));
     }
 
+    /** The class with the shortest aim waits behind all others, of which their own aims say nothing. */
+    @Test
+    void aServerThatHoldsMoreThanTheShortestAimAllowsGetsFewer() {
+        Node node = amongServersThatHold(1);
+        assertTrue(takenAtOnce(amongServersThatHold(1)) > 2 * SERVERS);
+        for (int k = 0; k < 200; k++) {
+            serve(node, "k" + k, LEISURELY, 400_000, 40);
+        }
+        assertTrue(takenAtOnce(node) <= SERVERS, "one each at most");
+    }
+
+    private static int takenAtOnce(Node node) {
+        int before = node.sent.size();
+        for (int k = 0; k < 100; k++) {
+            node.askFor("more" + k, Node.UNSAFE);
+        }
+        return node.sent.size() - before;
+    }
+
     @Test
     void aReportWithoutTheFigureSaysNothing() {
         Node node = amongServersThatHold(2);
