Start cold servers with the small first limit, so none is filled as it turns warm

Evidence: a probe of lists, answers and connects on all 14 nodes, by a server's age. At ages 1 to 8 s a cold server gets 2 to 3.5 attempts a second and says it holds 0.4; at age 9 s, when slow start ends, 71 a second, of which 1,224 of 2,540 are turned away, and it holds 16.

Ruled out: connects (6 of 23,000 attempts failed to connect at servers) and drains (nothing went to a drained server after its window).

At fault: firstLimit. Where keys are warm all nodes start with 64 in flight for each server, to be cut at the first late answer. Slow start never lets a cold server meet that limit, so nothing cuts it, and all of it is let go at once by every node.

--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -25,14 +25,13 @@
  */
 public final class ServiceQBalancer implements Balancer {
 
-    /** How many times a drawn server that may not be sent to is drawn again before the request waits: to look
-     * through all took more CPU than a node of a large fleet has when most are full. */
+    /** How often a drawn server that may not be sent to is drawn again: to look through all took much CPU. */
     private static final int REDRAWS = 15;
     /** Draws by key, some turned down by weight: three left a burst waiting, sixteen spread it. */
     private static final int KEY_DRAWS = 8;
     /** Shortest sweep over waiting requests; long against the cost of a sweep, short against any aim. */
     private static final long MIN_SWEEP_US = 5_000;
-    /** Share of a new value in a running mean, and in the share of timely answers, which follows a jam. */
+    /** Share of a new value in a running mean, and in that of timely answers, which follows a jam. */
     private static final double MEAN_GAIN = 1.0 / 32;
     private static final double TIMELY_GAIN = 1.0 / 8;
     /** Share of timely answers under which a sparse node throttles, but for a part to learn of recovery. */
@@ -48,8 +47,7 @@
     private static final double FIRST_WARM_LIMIT = 64;
     /** Answers slower than this share of the aim say that a server is crowded: the rest is for chance. */
     private static final double CROWDED_AT = 0.35;
-    /** The same share at a sparse node: what many nodes send evens out badly, so even servers with much
-     * room answer some requests slowly. */
+    /** The same at a sparse node: what many send evens out badly, so servers with room are slow at times. */
     private static final double SPARSE_CROWDED_AT = 0.7;
     /** Part of that growth that stays while half of the answers come late: some must, or none comes back. */
     private static final double LEAST_GROWTH = 0.1;
@@ -79,7 +77,7 @@
     /** Failures among a server's last {@link #REMEMBERED} answers from which on it is ejected. */
     private static final int EJECT_AT = 4;
     private static final int REMEMBERED = 16;
-    /** Successes in a row that restore a server: one may be luck, three hardly if most fail. */
+    /** Successes in a row that restore a server: one may be luck, three hardly. */
     private static final int TRIALS = 3;
     /** First time without requests for an ejected server, doubled with each failed trial, and the longest. */
     private static final long EJECT_US = 250_000;
@@ -114,10 +112,9 @@
     private static final double SPARSE_FROM = 20;
     /** Least servers that a node uses, where there are as many: one may fail and one hang. */
     private static final int LEAST_IN_USE = 4;
-    /** Places in the table of subsets for each server, at least: all then have about equally many nodes. */
+    /** Least places in the table of subsets for each server: all then have about equally many nodes. */
     private static final int ROW_PLACES = 4;
-    /** Places for each server in the table that keys draw from, at least: parts then differ by some percent.
-     * Their number changes only as the fleet doubles, since with it all keys move. */
+    /** The same in the table that keys draw from; it changes only as the fleet doubles, since then keys move. */
     private static final int KEY_PLACES = 16;
     /** Waiting requests with a key drawn for in vain at each event and each sweep: more took too much CPU. */
     private static final int KEYS_TRIED = 4;
@@ -338,9 +335,9 @@
             server.listed = entry.state() != ServerState.GONE;
             if (entry.startedAtUs() > server.startedAt) {
                 // A new process: what was counted against the old one says nothing of it.
+                server.startedAt = entry.startedAtUs();
                 startAnew(server);
                 server.nextColdSendAt = 0;
-                server.startedAt = entry.startedAtUs();
             }
             server.state = entry.state();
             server.zone = entry.zone();
@@ -371,7 +368,7 @@
             ready[i].position = i;
             ready[i].inUse = true;
             // Not before it is known how many nodes share it.
-            ready[i].limit = ready[i].limit == 0 ? firstLimit() : ready[i].limit;
+            ready[i].limit = ready[i].limit == 0 ? firstLimit(ready[i]) : ready[i].limit;
             if (isCold(ready[i]) && ready[i].nextColdSendAt == 0) {
                 // All nodes hear of a start at once: their first sends together would be a burst.
                 ready[i].nextColdSendAt = now + (long) (random.nextDouble() * coldGap(ready[i]));
@@ -431,8 +428,8 @@
     }
 
     /** This node's part of the servers. As in Maglev hashing, they take turns in claiming places from a table
-     * of rows, and node i has row i modulo their number: all get equally many, every node finds the same table,
-     * and a change of the list moves few places. A row for each node took too much CPU. */
+     * of rows, and node i has row i modulo their number: all get equally many, all find the same table, and
+     * a change of the list moves few places. A row for each node took too much CPU. */
     private List<Server> subset(Server[] from, int size) {
         if (size == from.length) {
             return Arrays.asList(from);
@@ -716,7 +713,7 @@
         server.errors = 0;
         restore(server.overall);
         Arrays.stream(server.byClass).forEach(ServiceQBalancer::restore);
-        server.limit = firstLimit();
+        server.limit = firstLimit(server);
         server.held = 0;
         server.heldAt = 0;
     }
@@ -1105,9 +1102,10 @@
         }
     }
 
-    /** Where keys are warm, what a server can hold depends on the keys it knows: the first cut shows it. */
-    private double firstLimit() {
-        return (set.warmKeys ? FIRST_WARM_LIMIT : FIRST_LIMIT) / sharers;
+    /** Where keys are warm, what a server can hold depends on the keys it knows: the first cut shows it. A
+     * cold one knows none; it gets too little to be cut before it is warm, and then all nodes together fill it. */
+    private double firstLimit(Server server) {
+        return (set.warmKeys && !isCold(server) ? FIRST_WARM_LIMIT : FIRST_LIMIT) / sharers;
     }
 
     /** One cut for all that was sent before the last one. */
--- a/src/test/java/kitemux/ColdServerTest.java
+++ b/src/test/java/kitemux/ColdServerTest.java
@@ -146,4 +146,22 @@
         }
         assertTrue(sent[1] > 0 && 2 * sent[1] <= sent[0], "sent: " + sent[1] + " and " + sent[0]);
     }
+
+    /** A limit that slow start kept from being met let all nodes fill a server as soon as it was warm. */
+    @Test
+    void aServerThatHasJustWarmedUpIsNotFilledAtOnceWhereKeysAreWarm() {
+        Balancer.Settings set = Node.settings();
+        set.nodes = 14;
+        set.warmKeys = true;
+        Node node = new Node(set, 11).with(20);
+        for (int i = 0; i < 400; i++) {
+            node.answer(node.askFor("k" + i, Node.UNSAFE), Result.OK, 10_000);
+        }
+        node.list(ListKind.CHANGES, List.of(started("cold", node.now)));
+        node.advance(set.coldUs);
+        for (int i = 0; i < 400; i++) {
+            node.askFor("k" + i, Node.UNSAFE);
+        }
+        assertTrue(node.sentTo("cold") <= 1, "sent at once by one of 14 nodes: " + node.sentTo("cold"));
+    }
 }
