Pace the failed trials of ejected servers to a twentieth of a node's first tries

From the second to the fifth second of the outage the 19 lost servers together get 300 to 365 attempts a second of about 1,000, all of which fail to connect after 200 ms; that is 17 a second for each server, as many as a live one gets.

Ruled out: servers that are not ejected yet (after 2 s all are, and the rate stays), and the list, which says nothing of servers that went silent.

At fault: eject and trial. Each node tries each ejected server by its own backoff from 250 ms on, with safe requests. That is harmless for one node and one server; 14 nodes with 19 servers out spend a third of all attempts and most of the searches on it. Failed trials now come out of a budget like that of hedges; one that succeeds costs nothing, so servers come back as fast.

--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -60,7 +60,7 @@
     private static final double SLOW_BY = 0.8;
     /** Most errors that slow answers add up to: a server that is slower still has its limit. */
     private static final int MOST_SLOW = 8;
-    /** Growth of that least mean with each answer, so that it follows a change of work: by half in 4,000. */
+    /** Growth of that least mean with each answer, to follow a change of work: by half in 4,000. */
     private static final double LEAST_DRIFT = 1.0001;
     /** Longest time between two requests to a server whose limit is under one: one second kept it choked. */
     private static final long MOST_REST_US = 2_000_000;
@@ -70,8 +70,7 @@
     private static final double LEARN_BY_NODES = 0.25;
     /** Cut of a limit for a request turned away or not answered in time, which is more than slow. */
     private static final double LIMIT_HARD_CUT = 0.3;
-    /** A waiting request with fewer of its class's usual latencies left to its aim is too late, but at most
-     * with a share of the aim left: while all servers are slow, some may still wait. */
+    /** A waiting request is too late with so many usual latencies left to its aim, or this share at most. */
     private static final double TOO_LATE_AT = 2;
     private static final double MOST_LATE_AT = 0.8;
     /** Failures among a server's last {@link #REMEMBERED} answers from which on it is ejected. */
@@ -82,6 +81,9 @@
     /** First time without requests for an ejected server, doubled with each failed trial, and the longest. */
     private static final long EJECT_US = 250_000;
     private static final long MOST_EJECT_US = 4_000_000;
+    /** Failed trials of all ejected servers: this share of first tries, and so many at once. */
+    private static final double TRIAL_SHARE = 0.05;
+    private static final double MOST_TRIALS = 4;
     /** Trials with unsafe requests are this much further apart: each that fails is lost. */
     private static final int UNSAFE_TRIALS = 4;
     /** Times the usual latency of its class after which an attempt is silent: one in fifty takes longer. */
@@ -100,7 +102,7 @@
     private static final double HELD_AT = 1;
     /** Part of the limits for requests beyond their tenant's share. */
     private static final double OVER_SHARE_PART = 0.5;
-    /** A tenant may use up this much of its share at once, and so many requests, which come in bunches. */
+    /** A tenant may use up this much of its share at once, and so many requests: they come in bunches. */
     private static final double SHARE_BURST_S = 1;
     private static final double LEAST_SHARE_BURST = 8;
     /** First wait before a failed list call is made again; doubled each time. */
@@ -147,6 +149,7 @@
     /** Attempts by class, in the order sent, until they are known or found silent. */
     private final List<ArrayDeque<Try>> watched = new ArrayList<>();
     private double hedgesLeft = MOST_HEDGES;
+    private double trialsLeft = MOST_TRIALS;
 
     private final Map<Long, Call> calls = new HashMap<>();
     private final ArrayList<Call> waiting = new ArrayList<>();
@@ -225,7 +228,7 @@
     /** An attempt that is watched for silence. */
     private record Try(Call call, int attempt) { }
 
-    /** What is drawn from: servers with their weights summed up to each, and the places that keys draw. */
+    /** What is drawn from: servers, their weights summed up to each, and the places that keys draw. */
     private static final class Pool {
         final Server[] servers;
         final long[] weightsUpTo;
@@ -392,11 +395,9 @@
         }
     }
 
-    /**
-     * Exception, subsets: acts when more than {@link #SHARERS} nodes would share each server. Connections
+    /** Exception, subsets: acts when more than {@link #SHARERS} nodes would share each server. Connections
      * are capped, cost work and are priced, and what a node sees is spread thinner with each server it uses:
-     * every node then keeps to a part of the servers, near ones first where crossing zones costs.
-     */
+     * every node then keeps to a part of the servers, near ones first where crossing zones costs. */
     private Server[] inUse(Server[] all) {
         Set<Server> used = new HashSet<>(part(all));
         shareAmong(Math.max(1, (double) set.nodes * used.size() / Math.max(1, all.length)));
@@ -658,6 +659,7 @@
             health.history <<= 1;
             health.servedAt = now;
             health.trialAt = now;
+            trialsLeft = Math.min(MOST_TRIALS, trialsLeft + (health.ejected ? 1 : 0));
             if (health.ejected && ++health.trialsWon >= TRIALS) {
                 log("restored server " + server.id + (health == ofClass ? " for a class" : ""));
                 restore(health);
@@ -680,12 +682,11 @@
 
     // ---------------------------------------------------------------- ejection
 
-    /**
-     * Exception, ejection: a server that failed {@link #EJECT_AT} of its last {@link #REMEMBERED} answers,
+    /** Exception, ejection: a server that failed {@link #EJECT_AT} of its last {@link #REMEMBERED} answers,
      * of all or of one class, gets nothing of these but single trials, further apart each time one fails.
-     * Never more than half of the servers are out: when most fail, the trouble is not theirs, and the
-     * weights alone decide. By class, since a class that a server serves would else hide one that it fails.
-     */
+     * Never more than half of the servers are out: when most fail, the trouble is not theirs. By class, since
+     * a class that it serves would else hide one that it fails. Where many are out, the budget for failed
+     * trials paces them: trials of a lost zone, from every node, would else take up most safe requests. */
     private void eject(Server server, Health health) {
         if (!health.ejected) {
             int c = Arrays.asList(server.byClass).indexOf(health);
@@ -770,8 +771,9 @@
 
     /** Two draws by weight; the one with fewer own requests in flight, ties at random. */
     private Server drawForFirstTry(Call call) {
-        Server due = ejected.isEmpty() ? null : trial(call);
+        Server due = ejected.isEmpty() || trialsLeft < 1 ? null : trial(call);
         if (due != null) {
+            trialsLeft--;
             return due;
         }
         Server server = drawTwo(call, call.keySeed != 0 ? everywhere : nearby);
@@ -1045,12 +1047,9 @@
 
     // ---------------------------------------------------------------- concurrency limits
 
-    /**
-     * Exception, concurrency limits: each server's limit grows when it was met while a request was out
-     * that was answered well inside the aim, and falls when answers are slow or requests are turned away.
-     * Acts only when a draw would exceed a server's limit, or the node the sum of all limits (with many
-     * nodes a server's part is under one).
-     */
+    /** Exception, concurrency limits: a server's limit grows when it was met while a request was out that was
+     * answered well inside the aim, and falls when answers are slow or requests are turned away. Acts when a
+     * draw would exceed it, or the node the sum of all (with many nodes a server's part is under one). */
     private void adaptLimit(Call call, int attempt, Outcome outcome) {
         Server server = call.servers[attempt];
         double before = server.limit;
@@ -1156,12 +1155,10 @@
         return top > 0 ? call.value / top : 0;
     }
 
-    /**
-     * Exception, load reports: acts where answers tell what a server holds for all nodes. Own requests in
+    /** Exception, load reports: acts where answers tell what a server holds for all nodes. Own requests in
      * flight tell little of that where a node is one of many, so a server laden well beyond the others is
      * passed over, as in consistent hashing with bounded loads; a key then goes on to its next draw. What was
-     * told wears off in about the time in which it is worked off, else who is passed over once stays so.
-     */
+     * told wears off in about the time in which it is worked off, else who is passed over once stays so. */
     private boolean isLaden(Server server) {
         double mean = heldByAll / Math.max(1, ready.length);
         double fresh = Math.exp((server.heldAt - now) / server.heldForUs);
@@ -1193,6 +1190,7 @@
         call.sentAt[attempt] = now;
         call.outstanding++;
         hedgesLeft = Math.min(MOST_HEDGES, hedgesLeft + (attempt == 0 ? HEDGE_SHARE : 0));
+        trialsLeft = Math.min(MOST_TRIALS, trialsLeft + (attempt == 0 ? TRIAL_SHARE : 0));
         watched.get(call.request.classIndex()).add(new Try(call, attempt));
         server.inFlight++;
         inFlight += isCounted(server) ? 1 : 0;
--- a/src/test/java/kitemux/HealthTest.java
+++ b/src/test/java/kitemux/HealthTest.java
@@ -75,6 +75,33 @@
         assertTrue(node.logged.stream().anyMatch(l -> l.equals("restored server s0")));
     }
 
+    /** Asks for something safe and ends each attempt; counts those at the first {@code lost} servers. */
+    private static int hitsLost(Node node, int lost) {
+        long id = node.ask(Node.SAFE);
+        int hits = 0;
+        for (int tried = 0; tried < node.attempts(id); tried++) {
+            boolean hit = Integer.parseInt(node.last(id).server().substring(1)) < lost;
+            hits += hit ? 1 : 0;
+            node.answer(id, hit ? Result.ERROR : Result.OK, 100);
+        }
+        return hits;
+    }
+
+    /** Trials of a lost zone, from every node of a large fleet, took up most of the safe requests. */
+    @Test
+    void trialsOfManyEjectedServersTakeUpASmallPartOfRequests() {
+        Node node = new Node().with(40);
+        for (int i = 0; i < 2_000; i++) {
+            hitsLost(node, 15);
+        }
+        int trials = 0;
+        for (int i = 0; i < 250; i++) {
+            trials += hitsLost(node, 15);
+            node.advance(20_000);
+        }
+        assertTrue(trials >= 4 && trials <= 25, "trials among 250 requests: " + trials);
+    }
+
     @Test
     void neverAreMoreThanHalfOfTheServersEjected() {
         Node node = new Node().with(4);
