--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -98,8 +98,8 @@
     private static final long LOG_EVERY_US = 1_000_000;
     /** A server is laden that holds this many times what servers hold on average, and one request more. */
     private static final double LADEN_BY = 1.5;
-    /** Share of the shortest aim that what a server holds may take to be answered, before it is crowded. */
-    private static final double HELD_AT = 1;
+    /** Shortest aims that what a server holds may take to be answered: at one, servers ran dry at times. */
+    private static final double HELD_AT = 1.5;
     /** Part of the limits for requests beyond their tenant's share. */
     private static final double OVER_SHARE_PART = 0.5;
     /** A tenant may use up this much of its share at once, and so many requests: they come in bunches. */
