Ask discovery again after jittered waits, at a pace that fits the number of nodes

Nodes that lose discovery together asked again 50, 100, 200 ... ms later, all at the same time, and once a second each however many there are.

At fault: Discovery.openAgain, whose wait had no jitter and one bound for all fleets; the module's own calls for the list have had jitter all along. Waits now vary by half, and the longest is 100 ms for each node, 1 s at least and 3 s at most, as word counts as told after 6 s.

--- a/src/main/java/kitemux/node/Discovery.java
+++ b/src/main/java/kitemux/node/Discovery.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -50,6 +51,10 @@
     /** First wait before a kept watch is opened again, doubled with each failure, and the longest. */
     private static final long BACKOFF_MS = 50;
     private static final long MOST_BACKOFF_MS = 1_000;
+    /** Where there are many nodes the longest wait grows, so that together they ask ten times a second. */
+    private static final long MOST_BACKOFF_MS_A_NODE = 100;
+    /** Whatever there is to tell counts as told after 6 s: half of that leaves time to hear it. */
+    private static final long LONGEST_MS = 3_000;
     /** No list is so long; a line without an end must not fill the memory. */
     private static final int MOST_LINE = 4 << 20;
 
@@ -58,6 +63,8 @@
     private final long mostSilenceUs;
     private final Listener listener;
     private final Bootstrap dialer;
+    private final SplittableRandom random;
+    private final int nodes;
     private final ObjectMapper json = new ObjectMapper();
     private InetSocketAddress address;
     private long rev;
@@ -73,6 +80,8 @@
         address = config.discovery();
         zones = config.settings().zones;
         rev = config.known().rev();
+        nodes = config.settings().nodes;
+        random = new SplittableRandom(config.seed());
         dialer = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, Node.ALLOCATOR)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
@@ -115,8 +124,18 @@
     }
 
     private void openAgain() {
-        again = loop.schedule(this::subscribe, backoffMs, TimeUnit.MILLISECONDS);
-        backoffMs = Math.min(MOST_BACKOFF_MS, 2 * backoffMs);
+        long waitMs = jittered(backoffMs, random.nextDouble());
+        again = loop.schedule(this::subscribe, waitMs, TimeUnit.MILLISECONDS);
+        backoffMs = Math.min(mostBackoffMs(nodes), 2 * backoffMs);
+    }
+
+    /** Nodes that lost discovery together must not come back to it together, time after time. */
+    static long jittered(long backoffMs, double chance) {
+        return (long) (backoffMs * (0.5 + chance / 2));
+    }
+
+    static long mostBackoffMs(int nodes) {
+        return Math.min(LONGEST_MS, Math.max(MOST_BACKOFF_MS, nodes * MOST_BACKOFF_MS_A_NODE));
     }
 
     /** Opens a watch for all that changed since the last list; it takes the place of an earlier one. */
--- a/src/test/java/kitemux/node/DiscoveryTest.java
+++ b/src/test/java/kitemux/node/DiscoveryTest.java
@@ -151,4 +151,13 @@
             FarServer.next(site.discovery.ended);
         }
     }
+
+    @Test
+    void nodesThatLostDiscoveryTogetherComeBackApartAndNoFasterThanItCanBear() {
+        assertEquals(500, Discovery.jittered(1_000, 0));
+        assertEquals(750, Discovery.jittered(1_000, 0.5));
+        assertEquals(1_000, Discovery.mostBackoffMs(3));
+        assertEquals(1_400, Discovery.mostBackoffMs(14));
+        assertEquals(3_000, Discovery.mostBackoffMs(200));
+    }
 }
