Let the module follow cordons, new settings and streamed answers

A cordoned server counts as one that drains and comes back cold; classes keep their places, and one that comes again with other rules goes on with what is known of it; a request that is bound to an attempt is neither tried again nor found silent, and its other attempts are called off.

--- a/src/main/java/kitemux/Balancer.java
+++ b/src/main/java/kitemux/Balancer.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 
 /**
  * The whole interface of the decision module: what a proxy node tells it (settings, server lists, requests,
@@ -29,18 +30,37 @@
     /** How one attempt ended. Attempts that are not known are passed over. */
     void onOutcome(long nowUs, Outcome outcome);
 
-    /** An attempt of a streamed class has begun to answer; it has no deadline from here on. */
+    /**
+     * The request is bound to this attempt: part of its answer has gone to the client, or part of the request
+     * is held by nobody but the server. It has no deadline from here on.
+     */
     void onFirstByte(long nowUs, long requestId, int attempt);
 
     /** The client has left; nothing more is owed. Ids that are not held are passed over. */
     void onClientGone(long nowUs, long requestId);
 
     /** How a probe ended; {@code report} as in {@link Outcome}. */
-    void onProbe(long nowUs, String serverId, Result result, long latencyUs, double[] report);
+    default void onProbe(long nowUs, String serverId, Result result, long latencyUs, double[] report) {
+        // Only a module that asks for probes has a use for what they say.
+    }
 
     /** The time asked for with {@link Actions#wakeAt} has come. */
     void onWake(long nowUs);
 
+    /**
+     * Settings that hold from now on. Requests that are held keep to the rules of their class; classes and
+     * tenants stand where they stood, with others behind them, and zones and report fields are the same.
+     *
+     * @throws IllegalArgumentException if a setting is out of range; then nothing changes
+     */
+    void onSettings(long nowUs, Settings settings);
+
+    /** Operators keep these servers out by hand, whatever the list says: all of them, each time. */
+    void onCordoned(long nowUs, Set<String> serverIds);
+
+    /** How many servers of the list it keeps from all requests, or those of a class, now. */
+    int skipped();
+
     /** What the module asks of its node. Calls take effect in order, at the time of the event. */
     interface Actions {
         /** Start the next attempt of a request (numbered 0, 1, 2 ...), to be given up at {@code untilUs}. */
--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -4,15 +4,15 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.stream.Stream;
+import java.util.function.Supplier;
 
 /**
  * Every decision of the load balancer. Its interface stands in {@code Balancer.java}.
@@ -95,15 +95,13 @@
     private static final double MOST_HEDGES = 20;
     /** Own requests in flight from which on a local server is compared with those of other zones. */
     private static final int SPILL_AT = 2;
-    private static final long LOG_EVERY_US = 1_000_000;
     /** A server is laden that holds this many times what servers hold on average, and one request more. */
     private static final double LADEN_BY = 1.5;
     /** Shortest aims that what a server holds may take to be answered: at one, servers ran dry at times. */
     private static final double HELD_AT = 1.5;
     /** Part of the limits for requests beyond their tenant's share. */
     private static final double OVER_SHARE_PART = 0.5;
-    /** A tenant may use up this much of its share at once, and so many requests: they come in bunches. */
-    private static final double SHARE_BURST_S = 1;
+    /** A tenant may use up a second's share at once, and so many requests: they come in bunches. */
     private static final double LEAST_SHARE_BURST = 8;
     /** First wait before a failed list call is made again; doubled each time. */
     private static final long LIST_BACKOFF_US = 250_000;
@@ -122,12 +120,10 @@
     private static final int KEYS_TRIED = 4;
     private static final int KEYS_SWEPT = 64;
 
-    private static final Comparator<Call> BY_VALUE = Comparator.comparingDouble(call -> -call.value);
-
-    private final Settings set;
+    private Settings set;
     private final Actions out;
     private final SplittableRandom random;
-    private final long sweepUs;
+    private long sweepUs;
     private double limitStep;
     private double limitCut;
     /** Whether so many nodes share a server that own requests in flight tell little of its load. */
@@ -135,9 +131,10 @@
     private double timely = 0.75;
 
     private final Map<String, Server> byId = new HashMap<>();
-    private final List<Server> listed = new ArrayList<>();
+    private final Set<Server> listed = new LinkedHashSet<>();
     /** The servers in use: all that are ready, or this node's part of them in a large fleet. */
     private Server[] ready = new Server[0];
+    private Set<String> cordoned = Set.of();
     private double sharers;
     private int nearSize;
     private Pool everywhere = new Pool(ready, false);
@@ -145,9 +142,6 @@
     private boolean weightsStale;
     private double largestEffect = 1;
     private final List<Server> ejected = new ArrayList<>();
-    private long logFreeAt;
-    /** Attempts by class, in the order sent, until they are known or found silent. */
-    private final List<ArrayDeque<Try>> watched = new ArrayList<>();
     private double hedgesLeft = MOST_HEDGES;
     private double trialsLeft = MOST_TRIALS;
 
@@ -158,16 +152,14 @@
     private long wakePending = Long.MAX_VALUE;
     private long lastServedAt;
     private double servedGapUs = FIRST_GAP_US;
-    private final double[] latencyUs;
-    private final double[] leastLatencyUs;
-    private final int[] answers;
-    private final double[] shareLeft;
-    private final long[] shareSeenAt;
+    private final List<Usual> usual = new ArrayList<>();
+    private double[] shareLeft = {};
+    private long[] shareSeenAt = {};
     private int inFlight;
     private double limits;
     private double heldByAll;
     private final int heldField;
-    private final double leastAimUs;
+    private double leastAimUs;
     private double heldCostUs;
     private long askListAt = Long.MAX_VALUE;
     private long listBackoffUs = LIST_BACKOFF_US;
@@ -175,7 +167,6 @@
     private static final class Server {
         final String id;
         final long hash;
-        boolean listed;
         int zone;
         int cell;
         ServerState state;
@@ -191,7 +182,7 @@
         boolean inUse;
         /** What all its answers say, and those of each class: it may fail one class and serve the others. */
         final Health overall = new Health();
-        final Health[] byClass;
+        final List<Health> byClass = new ArrayList<>();
         /** From when the gap to the next request counts while it is cold; 0 if none is set for this start. */
         long coldSentAt;
         /** What it said that it holds, when, and how long the answer took that said so. */
@@ -199,14 +190,9 @@
         long heldAt;
         double heldForUs = 1;
 
-        Server(String id, int classes) {
+        Server(String id) {
             this.id = id;
             hash = new SplittableRandom(id.hashCode()).nextLong();
-            byClass = Stream.generate(Health::new).limit(classes).toArray(Health[]::new);
-        }
-
-        boolean isEjectedFor(int classIndex) {
-            return overall.ejected || byClass[classIndex].ejected;
         }
     }
 
@@ -225,6 +211,15 @@
         }
     }
 
+    /** What the answers of a class say of it. */
+    private static final class Usual {
+        double latencyUs;
+        double leastLatencyUs;
+        int answers;
+        /** Its attempts, in the order sent, until they are known or found silent. */
+        final ArrayDeque<Try> watched = new ArrayDeque<>();
+    }
+
     /** An attempt that is watched for silence. */
     private record Try(Call call, int attempt) { }
 
@@ -292,20 +287,40 @@
 
     /** A node that has just started and knows nothing; throws IllegalArgumentException on bad settings. */
     public ServiceQBalancer(Settings settings, long seed, Actions actions) {
-        settings.validate();
-        set = settings;
         out = actions;
         random = new SplittableRandom(seed);
-        sweepUs = Math.max(MIN_SWEEP_US, 2 * settings.tickUs);
+        heldField = settings.reportFields.indexOf(ReportField.IN_FLIGHT);
+        follow(settings);
         shareAmong(set.nodes);
-        heldField = set.reportFields.indexOf(ReportField.IN_FLIGHT);
-        leastAimUs = set.classes.stream().mapToLong(RequestClass::aimUs).min().orElse(0);
-        latencyUs = new double[set.classes.size()];
-        leastLatencyUs = new double[set.classes.size()];
-        answers = new int[set.classes.size()];
-        shareLeft = new double[set.tenants.size()];
-        shareSeenAt = new long[set.tenants.size()];
-        set.classes.forEach(c -> watched.add(new ArrayDeque<>()));
+    }
+
+    private void follow(Settings settings) {
+        settings.validate();
+        set = settings;
+        sweepUs = Math.max(MIN_SWEEP_US, 2 * set.tickUs);
+        leastAimUs = set.classes.stream().filter(c -> c.worth() > 0)
+                .mapToLong(RequestClass::aimUs).min().orElse(0);
+        shareLeft = Arrays.copyOf(shareLeft, set.tenants.size());
+        shareSeenAt = Arrays.copyOf(shareSeenAt, set.tenants.size());
+        forEachClass(usual, Usual::new);
+        byId.values().forEach(server -> forEachClass(server.byClass, Health::new));
+    }
+
+    /** Has one for each class; a class that comes again with other rules goes on with what is known of it. */
+    private <T> void forEachClass(List<T> known, Supplier<T> unknown) {
+        List<String> names = set.classes.stream().map(RequestClass::name).toList();
+        for (int c = known.size(); c < names.size(); c++) {
+            int first = names.indexOf(names.get(c));
+            known.add(first < c ? known.get(first) : unknown.get());
+        }
+    }
+
+    @Override
+    public void onSettings(long nowUs, Settings settings) {
+        now = nowUs;
+        follow(settings);
+        chooseServers();
+        carryOn();
     }
 
     private void shareAmong(double nodes) {
@@ -323,25 +338,20 @@
     public void onServers(long nowUs, ListKind kind, List<ServerEntry> entries) {
         now = nowUs;
         if (kind != ListKind.CHANGES) {
-            for (Server server : listed) {
-                server.state = ServerState.GONE;
-                server.listed = false;
-            }
+            listed.forEach(server -> server.state = ServerState.GONE);
             listed.clear();
         }
         for (ServerEntry entry : entries) {
-            Server server = byId.computeIfAbsent(entry.id(), id -> new Server(id, set.classes.size()));
+            Server server = byId.computeIfAbsent(entry.id(), Server::new);
+            forEachClass(server.byClass, Health::new);
             if (entry.state() == ServerState.GONE) {
                 listed.remove(server);
-            } else if (!server.listed) {
+            } else {
                 listed.add(server);
             }
-            server.listed = entry.state() != ServerState.GONE;
             if (entry.startedAtUs() > server.startedAt) {
                 // A new process: what was counted against the old one says nothing of it.
-                server.startedAt = entry.startedAtUs();
-                startAnew(server);
-                server.coldSentAt = 0;
+                startCold(server, entry.startedAtUs());
             }
             server.state = entry.state();
             server.zone = entry.zone();
@@ -350,29 +360,46 @@
         chooseServers();
         // Servers come and go as long as a node runs: what is gone and holds nothing is forgotten.
         byId.values().removeIf(server -> server.state == ServerState.GONE && server.inFlight == 0);
-        if (set.listOnRequest) {
-            if (kind == ListKind.CACHED) {
-                askForList();
-            } else {
-                askListAt = Long.MAX_VALUE;
-                listBackoffUs = LIST_BACKOFF_US;
-            }
+        if (kind != ListKind.CACHED) {
+            askListAt = Long.MAX_VALUE;
+            listBackoffUs = LIST_BACKOFF_US;
+        } else if (set.listOnRequest) {
+            askForList();
         }
-        serveWaiting(KEYS_TRIED);
-        scheduleWake();
+        carryOn();
+    }
+
+    @Override
+    public void onCordoned(long nowUs, Set<String> serverIds) {
+        now = nowUs;
+        // It has most likely been restarted meanwhile, of which the list may tell late.
+        listed.stream().filter(server -> cordoned.contains(server.id) && !serverIds.contains(server.id))
+                .forEach(server -> startCold(server, Math.max(server.startedAt, now)));
+        cordoned = Set.copyOf(serverIds);
+        chooseServers();
+        carryOn();
+    }
+
+    @Override
+    public int skipped() {
+        return ejected.size() + (int) listed.stream().filter(s -> cordoned.contains(s.id)).count();
     }
 
     private void chooseServers() {
         Server[] before = ready;
-        ready = inUse(listed.stream().filter(s -> s.state == ServerState.READY).toArray(Server[]::new));
+        ready = inUse(listed.stream().filter(s -> s.state == ServerState.READY && !cordoned.contains(s.id))
+                .toArray(Server[]::new));
         for (Server server : before) {
             server.inUse = false;
         }
         for (int i = 0; i < ready.length; i++) {
             ready[i].position = i;
             ready[i].inUse = true;
-            // Not before it is known how many nodes share it.
-            ready[i].limit = ready[i].limit == 0 ? firstLimit(ready[i]) : ready[i].limit;
+            // Not before it is known how many nodes share it. Where keys are warm, what a server can hold
+            // depends on the keys it knows: the first cut shows it. A cold one knows none; it gets too little
+            // to be cut before it is warm, and then all nodes fill it.
+            ready[i].limit = ready[i].limit != 0 ? ready[i].limit
+                    : (set.warmKeys && !isCold(ready[i]) ? FIRST_WARM_LIMIT : FIRST_LIMIT) / sharers;
             if (isCold(ready[i]) && ready[i].coldSentAt == 0) {
                 // All nodes hear of a start at once: their first sends together would be a burst.
                 ready[i].coldSentAt = now - (long) (random.nextDouble() * coldGap(ready[i]));
@@ -551,13 +578,12 @@
         inFlight -= isCounted(server) ? 1 : 0;
         closeIfUnused(server);
         heed(server, outcome);
-        Health ofClass = server.byClass[call.request.classIndex()];
+        Health ofClass = server.byClass.get(call.request.classIndex());
         if (result == Result.OK) {
             succeeded(server, ofClass,
-                    sparse && outcome.latencyUs() > SLOW_BY * latencyUs[call.request.classIndex()]);
+                    sparse && outcome.latencyUs() > SLOW_BY * usual.get(call.request.classIndex()).latencyUs);
         } else if (result != Result.CANCELLED && result != Result.MOOT) {
-            // A time-out of a server that has answered since tells of crowding, not of silence, as being
-            // full does: the limit heeds it.
+            // A time-out of a server that has answered since tells of crowding, as being full does.
             boolean crowded = result == Result.FULL
                     || result == Result.TIMEOUT && ofClass.answeredAt >= call.sentAt[attempt];
             if (!call.silent[attempt]) {
@@ -567,15 +593,17 @@
         if (result == Result.OK || result == Result.ERROR) {
             ofClass.answeredAt = now;
         }
-        adaptLimit(call, attempt, outcome);
+        if (!call.streaming) {
+            // How long a stream takes is for its two ends, and says little of the server.
+            adaptLimit(call, attempt, outcome);
+        }
         if (outcome.requestEnded()) {
             end(call);
         } else if (!call.ended && call.outstanding == 0) {
             passOn(call, server);
         }
         forgetIfOver(call);
-        serveWaiting(KEYS_TRIED);
-        scheduleWake();
+        carryOn();
     }
 
     @Override
@@ -584,6 +612,7 @@
         Call call = calls.get(requestId);
         if (call != null) {
             call.streaming = true;
+            cancel(call, attempt);
         }
     }
 
@@ -597,12 +626,6 @@
         }
     }
 
-    /** Nothing is decided on probes; none is ever asked for. */
-    @Override
-    public void onProbe(long nowUs, String serverId, Result result, long latencyUs, double[] report) {
-        now = nowUs;
-    }
-
     @Override
     public void onWake(long nowUs) {
         now = nowUs;
@@ -618,10 +641,15 @@
         scheduleWake();
     }
 
+    private void carryOn() {
+        serveWaiting(KEYS_TRIED);
+        scheduleWake();
+    }
+
     private void scheduleWake() {
         long at = waiting.isEmpty() ? askListAt : Math.min(askListAt, now + sweepUs);
-        for (int c = 0; c < watched.size(); c++) {
-            Try first = watched.get(c).peek();
+        for (int c = 0; c < usual.size(); c++) {
+            Try first = usual.get(c).watched.peek();
             at = first == null ? at : Math.min(at, Math.max(now + sweepUs,
                     first.call.sentAt[first.attempt] + silentAfter(c)));
         }
@@ -649,19 +677,21 @@
 
     /** Whether another class has been served since this one was, without a failure among its last answers. */
     private static boolean servesOthers(Server server, Health ofClass) {
-        return Arrays.stream(server.byClass)
+        return server.byClass.stream()
                 .anyMatch(other -> other.servedAt > ofClass.servedAt && other.recentFailures() == 0);
     }
 
     /** A success clears the count; an ejected server has to succeed several times in a row. */
     private void succeeded(Server server, Health ofClass, boolean slow) {
+        servedGapUs += MEAN_GAIN * (now - lastServedAt - servedGapUs);
+        lastServedAt = now;
         for (Health health : new Health[] {server.overall, ofClass}) {
             health.history <<= 1;
             health.servedAt = now;
             health.trialAt = now;
             trialsLeft = Math.min(MOST_TRIALS, trialsLeft + (health.ejected ? 1 : 0));
             if (health.ejected && ++health.trialsWon >= TRIALS) {
-                log("restored server " + server.id + (health == ofClass ? " for a class" : ""));
+                out.log("restored server " + server.id + (health == ofClass ? " for a class" : ""));
                 restore(health);
                 if (health == server.overall) {
                     startAnew(server);
@@ -689,14 +719,14 @@
      * trials paces them: trials of a lost zone, from every node, would else take up most safe requests. */
     private void eject(Server server, Health health) {
         if (!health.ejected) {
-            int c = Arrays.asList(server.byClass).indexOf(health);
-            long out = ejected.stream().filter(s -> c < 0 ? s.overall.ejected : s.byClass[c].ejected).count();
-            if (2 * (out + 1) > ready.length) {
+            int c = server.byClass.indexOf(health);
+            long many = ejected.stream().filter(s -> (c < 0 ? s.overall : s.byClass.get(c)).ejected).count();
+            if (2 * (many + 1) > ready.length) {
                 return;
             }
             health.ejected = true;
             health.ejectedForUs = EJECT_US / 2;
-            log("ejected server " + server.id + " after " + health.recentFailures() + " failures"
+            out.log("ejected server " + server.id + " after " + health.recentFailures() + " failures"
                     + (c < 0 ? "" : " of class " + set.classes.get(c).name()));
         }
         health.ejectedForUs = Math.min(MOST_EJECT_US, 2 * health.ejectedForUs);
@@ -714,17 +744,23 @@
         weightsStale |= server.errors > 0;
         server.errors = 0;
         restore(server.overall);
-        Arrays.stream(server.byClass).forEach(ServiceQBalancer::restore);
+        server.byClass.forEach(ServiceQBalancer::restore);
         // What comes back may be a new process that the list is yet to tell of: with little, as a cold one.
         server.limit = FIRST_LIMIT / sharers;
         server.held = 0;
         server.heldAt = 0;
     }
 
+    private void startCold(Server server, long startedAt) {
+        server.startedAt = startedAt;
+        server.coldSentAt = 0;
+        startAnew(server);
+    }
+
     /** An ejected server that is due for a trial with this request, or null. */
     private Server trial(Call call) {
         for (Server server : ejected) {
-            Health ofClass = server.byClass[call.request.classIndex()];
+            Health ofClass = server.byClass.get(call.request.classIndex());
             // Unsafe requests are risked only where no other could tell: for a class of their own.
             boolean due = call.cls.repeat() == Repeat.UNSAFE
                     ? !server.overall.ejected && ofClass.ejected
@@ -751,7 +787,7 @@
                 inFlight += server.inFlight;
                 heldByAll += server.held;
             }
-            if (server.overall.ejected || Arrays.stream(server.byClass).anyMatch(h -> h.ejected)) {
+            if (server.overall.ejected || server.byClass.stream().anyMatch(h -> h.ejected)) {
                 ejected.add(server);
             }
         }
@@ -761,13 +797,6 @@
         return server.inUse && !server.overall.ejected;
     }
 
-    private void log(String line) {
-        if (now >= logFreeAt) {
-            logFreeAt = now + LOG_EVERY_US;
-            out.log(line);
-        }
-    }
-
     // ---------------------------------------------------------------- draws
 
     /** Two draws by weight; the one with fewer own requests in flight, ties at random. */
@@ -778,12 +807,10 @@
             return due;
         }
         Server server = drawTwo(call, call.keySeed != 0 ? everywhere : nearby);
-        if (nearby == everywhere || call.keySeed != 0) {
-            return server;
-        }
         // Exception, zones: where crossing costs, both draws are local, and two more from all servers win
         // only if the local choice is crowded, fails, or has at least two requests more in flight.
-        if (server != null && server.inFlight < SPILL_AT && server.errors == 0) {
+        if (nearby == everywhere || call.keySeed != 0
+                || server != null && server.inFlight < SPILL_AT && server.errors == 0) {
             return server;
         }
         Server other = drawTwo(call, everywhere);
@@ -808,7 +835,7 @@
             weigh();
         }
         if (call.keySeed != 0) {
-            return drawByKey(call, from, Collections.singletonList(except));
+            return drawByKey(call, from, Arrays.asList(except));
         }
         for (int i = 0; i <= REDRAWS && servers.length > 0; i++) {
             Server server = servers[drawPosition(from)];
@@ -828,13 +855,11 @@
         return found < 0 ? -1 - found : found + 1;
     }
 
-    /**
-     * Exception, keys: acts where servers remember keys. The same weights, but the draws are fixed by the
-     * request's key, as in rendezvous hashing: every node draws the same servers for a key, and a server
-     * that gains errors loses keys to those drawn next, while the other keys stay where they are warm. When
-     * all draws are full the request waits: at just any server it would cost the work that memory saves, and
-     * a crowd would feed itself. Harm: a few hot keys may wait while other servers have room.
-     */
+    /** Exception, keys: acts where servers remember keys. The same weights, but the draws are fixed by the
+     * request's key, as in rendezvous hashing: every node draws the same servers for a key, and a server that
+     * gains errors loses keys to those drawn next, while the other keys stay where they are warm. When all
+     * draws are full the request waits: at just any server it would cost the work that memory saves, and a
+     * crowd would feed itself. Harm: a few hot keys may wait while other servers have room. */
     private Server drawByKey(Call call, Pool from, List<Server> except) {
         for (int i = 0; i < KEY_DRAWS && from.places.length > 0; i++) {
             long hash = mix(call.keySeed + i * 0x9E3779B97F4A7C15L);
@@ -904,20 +929,18 @@
 
     // ---------------------------------------------------------------- silence
 
-    /**
-     * Exception, silence: an attempt without an answer for {@link #SILENT_BY} times its class's usual time,
+    /** Exception, silence: an attempt without an answer for {@link #SILENT_BY} times its class's usual time,
      * at a server that has answered nothing of the class since, counts as a failure while it is still out,
      * and a repeatable request passes on to a second server (a hedge, within a retry budget). Guards against
-     * whatever swallows requests or answers while clients leave before any time-out tells. Not after a
-     * pause of this node's own, when answers are still to be read. Harm: rare heavy requests run twice.
-     */
+     * whatever swallows requests or answers while clients leave before any time-out tells. Not after a pause
+     * of this node's own, when answers are still to be read. Harm: rare heavy requests run twice. */
     private void lookForSilence() {
-        for (int c = 0; c < watched.size(); c++) {
-            ArrayDeque<Try> line = watched.get(c);
+        for (int c = 0; c < usual.size(); c++) {
+            ArrayDeque<Try> line = usual.get(c).watched;
             while (!line.isEmpty()) {
                 Call call = line.peek().call;
                 int attempt = line.peek().attempt;
-                boolean known = call.ended || call.results[attempt] != null;
+                boolean known = call.ended || call.streaming || call.results[attempt] != null;
                 if (!known && now < call.sentAt[attempt] + silentAfter(c)) {
                     break;
                 }
@@ -931,17 +954,17 @@
 
     private long silentAfter(int classIndex) {
         return !isUsualKnown(classIndex) ? Long.MAX_VALUE / 4
-                : (long) (SILENT_BY * latencyUs[classIndex]) + 2 * set.tickUs;
+                : (long) (SILENT_BY * usual.get(classIndex).latencyUs) + 2 * set.tickUs;
     }
 
     /** Whether a class has had answers enough for their mean to be more than chance. */
     private boolean isUsualKnown(int classIndex) {
-        return answers[classIndex] * MEAN_GAIN >= 0.5;
+        return usual.get(classIndex).answers * MEAN_GAIN >= 0.5;
     }
 
     private void foundSilent(Call call, int attempt) {
         Server server = call.servers[attempt];
-        Health ofClass = server.byClass[call.request.classIndex()];
+        Health ofClass = server.byClass.get(call.request.classIndex());
         if (ofClass.answeredAt < call.sentAt[attempt]) {
             call.silent[attempt] = true;
             failed(server, ofClass, true);
@@ -962,7 +985,7 @@
     private void defer(Call call) {
         call.waiting = true;
         int at = waiting.size();
-        while (at > 0 && BY_VALUE.compare(waiting.get(at - 1), call) > 0) {
+        while (at > 0 && waiting.get(at - 1).value < call.value) {
             at--;
         }
         waiting.add(at, call);
@@ -984,7 +1007,7 @@
                 continue;
             }
             boolean late = call.aimAt - now < Math.min(MOST_LATE_AT * (call.aimAt - call.arrivedAt),
-                    TOO_LATE_AT * latencyUs[call.request.classIndex()]);
+                    TOO_LATE_AT * usual.get(call.request.classIndex()).latencyUs);
             if (call.deadlineAt - now <= sweepUs + set.tickUs || late && call.cls.lateWorth() == 0
                     || !mayTryAgain(call)) {
                 call.waiting = false;
@@ -1017,7 +1040,7 @@
         }
         waiting.subList(kept, waiting.size()).clear();
         if (unsorted) {
-            waiting.sort(BY_VALUE);
+            waiting.sort(Comparator.comparingDouble(call -> -call.value));
         }
     }
 
@@ -1028,8 +1051,8 @@
         int tenant = call.request.tenant();
         double quota = tenant < 0 ? 0 : set.tenants.get(tenant).quotaPerS() / set.nodes;
         if (quota > 0) {
-            double most = Math.max(LEAST_SHARE_BURST, quota * SHARE_BURST_S);
-            double since = shareSeenAt[tenant] == 0 ? SHARE_BURST_S : (now - shareSeenAt[tenant]) / 1e6;
+            double most = Math.max(LEAST_SHARE_BURST, quota);
+            double since = shareSeenAt[tenant] == 0 ? 1 : (now - shareSeenAt[tenant]) / 1e6;
             shareSeenAt[tenant] = now;
             shareLeft[tenant] = Math.min(most, shareLeft[tenant] + quota * since);
             if (shareLeft[tenant] >= 1) {
@@ -1043,7 +1066,7 @@
     }
 
     private double forItsWork(double worth, int classIndex) {
-        return set.worthByWork ? worth : worth / Math.max(1, latencyUs[classIndex]);
+        return set.worthByWork ? worth : worth / Math.max(1, usual.get(classIndex).latencyUs);
     }
 
     // ---------------------------------------------------------------- concurrency limits
@@ -1055,29 +1078,31 @@
         Server server = call.servers[attempt];
         double before = server.limit;
         int c = call.request.classIndex();
+        Usual known = usual.get(c);
         // A client that leaves hides how long its answer would have taken, so that only quick ones stay in
         // sight: after more than the usual time, what it has waited counts like an answer no quicker.
         boolean left = outcome.result() == Result.CANCELLED && call.left
-                && outcome.latencyUs() > SLOW_BY * latencyUs[c];
+                && outcome.latencyUs() > SLOW_BY * known.latencyUs;
         if (outcome.result() == Result.OK || outcome.result() == Result.TIMEOUT
                 || outcome.result() == Result.FULL || left) {
             timely += TIMELY_GAIN * ((outcome.result() == Result.OK && now <= call.aimAt ? 1 : 0) - timely);
         }
         if (outcome.result() == Result.OK) {
-            latencyUs[c] += Math.max(MEAN_GAIN, 1.0 / ++answers[c]) * (outcome.latencyUs() - latencyUs[c]);
+            known.latencyUs += Math.max(MEAN_GAIN, 1.0 / ++known.answers)
+                    * (outcome.latencyUs() - known.latencyUs);
             // The first answers' mean is chance; until then the aim alone tells.
-            leastLatencyUs[c] = !isUsualKnown(c) ? Double.MAX_VALUE
-                    : Math.min(leastLatencyUs[c] * LEAST_DRIFT, latencyUs[c]);
-            servedGapUs += MEAN_GAIN * (now - lastServedAt - servedGapUs);
-            lastServedAt = now;
+            known.leastLatencyUs = !isUsualKnown(c) ? Double.MAX_VALUE
+                    : Math.min(known.leastLatencyUs * LEAST_DRIFT, known.latencyUs);
         }
         if (outcome.result() == Result.OK || left) {
             double aim = call.aimAt - call.arrivedAt;
-            boolean patient = set.warmKeys || sparse && leastLatencyUs[c] < Double.MAX_VALUE;
+            boolean patient = set.warmKeys || sparse && known.leastLatencyUs < Double.MAX_VALUE;
             double crowded = Math.min((patient ? SPARSE_CROWDED_AT : CROWDED_AT) * aim, set.warmKeys
-                    ? Double.MAX_VALUE : (sparse ? 2 : 1) * CROWDED_BY * leastLatencyUs[c]);
+                    ? Double.MAX_VALUE : (sparse ? 2 : 1) * CROWDED_BY * known.leastLatencyUs);
             double rank = sparse ? rank(call) : 1;
-            if (outcome.latencyUs() > crowded || isHeldLong(server)) {
+            // Or what it holds says that a request of the class with the shortest aim would be late there.
+            if (outcome.latencyUs() > crowded
+                    || server.heldAt == now && (server.held + 1) * heldCostUs > HELD_AT * leastAimUs) {
                 cutLimit(call, attempt, limitCut * rank);
             } else if (!left) {
                 // A cold server gets little and is quick with it: were its limit to pass the others', all
@@ -1103,12 +1128,6 @@
         }
     }
 
-    /** Where keys are warm, what a server can hold depends on the keys it knows: the first cut shows it. A
-     * cold one knows none; it gets too little to be cut before it is warm, and then all nodes fill it. */
-    private double firstLimit(Server server) {
-        return (set.warmKeys && !isCold(server) ? FIRST_WARM_LIMIT : FIRST_LIMIT) / sharers;
-    }
-
     /** One cut for all that was sent before the last one. */
     private void cutLimit(Call call, int attempt, double cut) {
         Server server = call.servers[attempt];
@@ -1125,9 +1144,8 @@
         // Lent by how timely answers are: in a jam it would keep choked servers choked.
         double ease = sparse ? Math.max(0, call.overShare ? 4 * timely - 3 : 2 * timely - 1) : 0;
         double ahead = sparse ? BURST * rank(call) : 0;
-        // Exception, shares: what is beyond its tenant's share gets a part of each limit and is lent less, so
-        // that bursts inside a share find room; it does not raise limits either. Not where keys are warm,
-        // since limits are no measure of room there.
+        // Exception, shares: what is beyond its tenant's share gets a part of each limit, is lent less and
+        // raises none, so that bursts inside a share find room. Not where keys are warm: limits say less.
         double part = call.overShare ? OVER_SHARE_PART : 1;
         boolean atLimit = server.inFlight + 1 > part * server.limit
                 && (server.inFlight > ease * ahead || now < server.restUntil - ease * ahead * server.restUs);
@@ -1148,9 +1166,9 @@
     /** The value of a request against that of the most valuable class, 1 at most. */
     private double rank(Call call) {
         double top = call.value;
-        for (int c = 0; c < latencyUs.length; c++) {
+        for (int c = 0; c < usual.size(); c++) {
             // A class that has not been answered yet has no measure of work; it must not outrank all others.
-            double worth = answers[c] > 0 ? set.classes.get(c).worth() : 0;
+            double worth = usual.get(c).answers > 0 ? set.classes.get(c).worth() : 0;
             top = Math.max(top, forItsWork(worth, c));
         }
         return top > 0 ? call.value / top : 0;
@@ -1166,11 +1184,6 @@
         return mean + (server.held - mean) * fresh > LADEN_BY * mean + 1;
     }
 
-    /** Whether a request of the class with the shortest aim would be answered late there. */
-    private boolean isHeldLong(Server server) {
-        return server.heldAt == now && (server.held + 1) * heldCostUs > HELD_AT * leastAimUs;
-    }
-
     private void heed(Server server, Outcome outcome) {
         if (heldField >= 0 && outcome.report() != null && outcome.report()[heldField] >= 0) {
             heldByAll += isCounted(server) ? outcome.report()[heldField] - server.held : 0;
@@ -1192,7 +1205,7 @@
         call.outstanding++;
         hedgesLeft = Math.min(MOST_HEDGES, hedgesLeft + (attempt == 0 ? HEDGE_SHARE : 0));
         trialsLeft = Math.min(MOST_TRIALS, trialsLeft + (attempt == 0 ? TRIAL_SHARE : 0));
-        watched.get(call.request.classIndex()).add(new Try(call, attempt));
+        usual.get(call.request.classIndex()).watched.add(new Try(call, attempt));
         server.inFlight++;
         inFlight += isCounted(server) ? 1 : 0;
         // Gaps are counted from the first request on, not from the start of the clock.
@@ -1209,12 +1222,8 @@
 
     /** Rule 1: the one final answer, a refusal wherever that is known to be harmless. */
     private void giveUp(Call call) {
-        boolean harmless = switch (call.cls.repeat()) {
-            case SAFE -> true;
-            case KEYED -> call.binding() < 0 || call.cls.group() == Group.ALL;
-            case UNSAFE -> call.binding() < 0;
-        };
-        if (harmless) {
+        if (call.binding() < 0 || call.cls.repeat() == Repeat.SAFE
+                || call.cls.repeat() == Repeat.KEYED && call.cls.group() == Group.ALL) {
             out.refuse(call.request.id(), set.maxRetryAfterUs);
         } else {
             out.fail(call.request.id());
@@ -1225,12 +1234,16 @@
     private void end(Call call) {
         call.ended = true;
         call.waiting = false;
+        cancel(call, -1);
+        forgetIfOver(call);
+    }
+
+    private void cancel(Call call, int except) {
         for (int i = 0; i < call.attempts && call.outstanding > 0 && set.cancel; i++) {
-            if (call.results[i] == null) {
+            if (call.results[i] == null && i != except) {
                 out.cancel(call.request.id(), i);
             }
         }
-        forgetIfOver(call);
     }
 
     private void forgetIfOver(Call call) {
@@ -1241,21 +1254,18 @@
 
     /** Rule 2: whether any further attempt could be lawful, wherever it goes. */
     private boolean mayTryAgain(Call call) {
-        if (call.attempts >= set.maxAttempts || now >= call.deadlineAt || call.streaming) {
+        if (call.attempts >= call.servers.length || now >= call.deadlineAt || call.streaming) {
             return false;
         }
         int binding = call.binding();
-        return binding < 0 || switch (call.cls.repeat()) {
-            case SAFE -> true;
-            case KEYED -> now <= call.sentAt[binding] + call.cls.windowUs();
-            case UNSAFE -> false;
-        };
+        return binding < 0 || call.cls.repeat() == Repeat.SAFE || call.cls.repeat() == Repeat.KEYED
+                && now <= call.sentAt[binding] + call.cls.windowUs();
     }
 
     /** Rules 2 to 4 for one server: the keyed group, the list's word, and a cold server's budget. */
     private boolean maySend(Call call, Server server) {
-        return !server.isEjectedFor(call.request.classIndex()) && !isLaden(server)
-                && !isCrowded(call, server) && isAllowed(call, server);
+        return !server.overall.ejected && !server.byClass.get(call.request.classIndex()).ejected
+                && !isLaden(server) && !isCrowded(call, server) && isAllowed(call, server);
     }
 
     private boolean isAllowed(Call call, Server server) {
@@ -1264,24 +1274,18 @@
             return false;
         }
         int binding = call.cls.repeat() == Repeat.KEYED ? call.binding() : -1;
-        return binding < 0 || switch (call.cls.group()) {
-            case ALL -> true;
-            case ZONE -> server.zone == call.servers[binding].zone;
-            case CELL -> server.cell == call.servers[binding].cell;
-        };
+        return binding < 0 || call.cls.group() == Group.ALL || (call.cls.group() == Group.ZONE
+                ? server.zone == call.servers[binding].zone : server.cell == call.servers[binding].cell);
     }
 
     private boolean isCold(Server server) {
         return server.startedAt > 0 && now < server.startedAt + set.coldUs;
     }
 
-    /**
-     * Exception, slow start (rule 4): the unit is an even part of what this node gets answered, times the
-     * share of its capacity that a cold server has at least. All nodes together may send so many units as
-     * the rule's multiple; each spends half of that, spaced so that no burst spends it at once. Its limit
-     * keeps a server that is slow besides below even that. Arrivals would not do as the measure: in a
-     * jam, clients' retries multiply them.
-     */
+    /** Exception, slow start (rule 4): the unit is an even part of what this node gets answered, times the
+     * share of its capacity that a cold server has at least. All nodes together may send so many units as the
+     * rule's multiple; each spends half of that, spaced so that no burst spends it at once. Its limit keeps a
+     * server that is slow besides below even that. Arrivals are no measure: jams multiply them. */
     private long coldGap(Server server) {
         double age = Math.max(0, now - server.startedAt) / (double) set.coldUs;
         double share = set.coldFrom + (1 - set.coldFrom) * Math.min(1, age);
