--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -387,6 +387,8 @@
 
     private void chooseServers() {
         Server[] before = ready;
+        // Gaps are counted from the first list on, not from the start of the clock.
+        lastServedAt = lastServedAt == 0 ? now : lastServedAt;
         ready = inUse(listed.stream().filter(s -> s.state == ServerState.READY && !cordoned.contains(s.id))
                 .toArray(Server[]::new));
         for (Server server : before) {
@@ -1208,8 +1210,6 @@
         usual.get(call.request.classIndex()).watched.add(new Try(call, attempt));
         server.inFlight++;
         inFlight += isCounted(server) ? 1 : 0;
-        // Gaps are counted from the first request on, not from the start of the clock.
-        lastServedAt = lastServedAt == 0 ? now : lastServedAt;
         if (isCold(server)) {
             // A turn waits for a request that draws the server; where traffic is thin that takes as long as
             // the gap, and if the next gap began only then, most of the budget would be lost.
--- a/src/test/java/kitemux/ColdServerTest.java
+++ b/src/test/java/kitemux/ColdServerTest.java
@@ -55,6 +55,18 @@
         assertTrue(toCold <= 2, "sent to the cold server in 0.2 s: " + toCold);
     }
 
+    @Test
+    void aNodeWhoseServersAreAllColdFromTheFirstListOnSendsToThem() {
+        Node node = new Node();
+        node.now = 1_700_000_000_000_000L;
+        node.list(ListKind.CACHED, List.of(started("c0", node.now - 100_000), started("c1", node.now - 100_000)));
+        for (int i = 0; i < 10; i++) {
+            node.ask(Node.SAFE);
+            node.advance(100_000);
+        }
+        assertTrue(node.sent.size() > 0, "nothing was sent in a second");
+    }
+
     @Test
     void slowStartDoesNotDependOnWhereTheClockBegins() {
         // Guards against a first gap between answers that was counted from the start of the clock.
