Answer operators' calls, report figures, keep servers out by hand, start on an inherited socket

Checked on the way: the JDK points the standard streams at /dev/null not when the inherited channel is taken but when it is closed, so the old process stops reading from it and leaves it open; RestartTest reads the log of the old process after that.

--- a/src/main/java/kitemux/node/ClientServer.java
+++ b/src/main/java/kitemux/node/ClientServer.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -64,6 +65,8 @@
     /** All connections, the longest unused first. */
     private final Set<Client> clients = new LinkedHashSet<>();
     private Channel listening;
+    /** Whether another process of this node may accept on the same socket. */
+    private boolean shared;
     private boolean draining;
     private boolean closed;
     private Runnable whenEmpty = () -> { };
@@ -75,8 +78,11 @@
         this.handler = handler;
     }
 
-    ChannelFuture listen(InetSocketAddress address) {
-        ChannelFuture opening = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+    /** Listens at this address, or on the socket that is inherited where there is one. */
+    ChannelFuture listen(InetSocketAddress address, ServerSocketChannel inherited) {
+        ServerBootstrap bootstrap = new ServerBootstrap().group(loop)
+                .channelFactory(() -> inherited == null ? new NioServerSocketChannel()
+                        : new NioServerSocketChannel(inherited))
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .childOption(ChannelOption.ALLOCATOR, Node.ALLOCATOR)
@@ -86,7 +92,9 @@
                     protected void initChannel(SocketChannel channel) {
                         accepted(channel);
                     }
-                }).bind(address);
+                });
+        shared = inherited != null;
+        ChannelFuture opening = shared ? bootstrap.register() : bootstrap.bind(address);
         listening = opening.channel();
         return opening;
     }
@@ -125,6 +133,27 @@
         }
     }
 
+    /**
+     * Ends where others accept on the same socket: no connection is lost with it, so none is accepted from
+     * now on. Those that are idle stay open for as long as a request on them can still be answered, since
+     * one that crossed their end would be turned back; every answer ends its connection.
+     *
+     * @param idleMs how long idle connections may stay
+     */
+    void handOver(long idleMs, Runnable whenDone) {
+        draining = true;
+        closed = true;
+        whenEmpty = whenDone;
+        // Not closed: with an inherited socket the JDK would end the standard streams, and with them the log.
+        listening.config().setAutoRead(false);
+        loop.schedule(this::closeIdle, idleMs, TimeUnit.MILLISECONDS);
+        tellIfEmpty();
+    }
+
+    private void closeIdle() {
+        new ArrayList<>(clients).stream().filter(Client::isIdle).forEach(c -> c.channel.close());
+    }
+
     /**
      * No longer ready: new connections are served while the front may still deal them out, every answer
      * ends its connection, and then all that is idle is closed.
@@ -136,7 +165,7 @@
         whenEmpty = whenDone;
         loop.schedule(() -> listening.close().addListener(done -> {
             closed = true;
-            new ArrayList<>(clients).stream().filter(Client::isIdle).forEach(c -> c.channel.close());
+            closeIdle();
             tellIfEmpty();
         }), ARRIVING_MS, TimeUnit.MILLISECONDS);
     }
@@ -233,8 +262,8 @@
             try {
                 String path = RequestReader.path(message.uri());
                 if (path.equals("/up")) {
-                    answer(draining ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK,
-                            NO_BODY, 0);
+                    boolean ends = draining && !shared;
+                    answer(ends ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK, NO_BODY, 0);
                 } else if (RequestReader.isRequestPath(path)) {
                     ClientRequest request = reader.read(message);
                     proven = true;
--- /dev/null
+++ b/src/main/java/kitemux/node/ControlServer.java
@@ -0,0 +1,164 @@
+package kitemux.node;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.LineBasedFrameDecoder;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.util.concurrent.Future;
+
+/** The address for operators: one call, a line, to a connection. */
+final class ControlServer {
+    /** What the node does for operators. */
+    interface Node {
+        /** Whether this process can serve clients. */
+        boolean serves();
+
+        /** All figures, a line each. */
+        String figures();
+
+        /** Keeps a server out, or lets it in again. */
+        void cordon(String serverId, boolean out) throws RefusedException;
+    }
+
+    /** A call that is not carried out; the message says why. */
+    static final class RefusedException extends Exception {
+        private static final long serialVersionUID = 1;
+
+        RefusedException(String message) {
+            super(message);
+        }
+    }
+
+    /** Descriptors that callers may hold, and the listener. */
+    static final int SOCKETS = 17;
+    private static final int MOST_CALLERS = SOCKETS - 1;
+    private static final int MOST_LINE = 1 << 10;
+    /** Whoever has not made its call by then, or not read its answer, is closed. */
+    private static final long MOST_CALL_MS = 3_000;
+
+    private final EventLoop loop;
+    private final Node node;
+    /** Callers, the longest connected first. */
+    private final ArrayDeque<Caller> callers = new ArrayDeque<>();
+    private Channel listening;
+
+    ControlServer(EventLoop loop, Node node) {
+        this.loop = loop;
+        this.node = node;
+    }
+
+    ChannelFuture listen(InetSocketAddress address) {
+        ChannelFuture opening = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.ALLOCATOR, kitemux.node.Node.ALLOCATOR)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        if (callers.size() == MOST_CALLERS) {
+                            // Most likely one that says nothing: it must not keep others out.
+                            callers.poll().channel.close();
+                        }
+                        Caller caller = new Caller(channel);
+                        callers.add(caller);
+                        channel.pipeline().addLast(new LineBasedFrameDecoder(MOST_LINE, true, true), caller);
+                    }
+                }).bind(address);
+        listening = opening.channel();
+        return opening;
+    }
+
+    void close() {
+        listening.close();
+        callers.forEach(caller -> caller.channel.close());
+    }
+
+    private String answer(String line) {
+        String[] words = line.strip().split("\\s+");
+        String call = words[0];
+        try {
+            switch (call) {
+                case "health", "counters" -> takes(words, 1);
+                case "cordon", "uncordon" -> takes(words, 2);
+                default -> throw new RefusedException("unknown call");
+            }
+            if (call.equals("counters")) {
+                return node.figures() + "END";
+            }
+            if (!call.equals("health")) {
+                node.cordon(words[1], call.equals("cordon"));
+            } else if (!node.serves()) {
+                throw new RefusedException("not serving");
+            }
+            return "YES";
+        } catch (RefusedException e) {
+            return "NO " + e.getMessage();
+        } catch (RuntimeException e) {
+            Log.error("call " + call, e);
+            return "NO defect in the node";
+        }
+    }
+
+    private static void takes(String[] words, int number) throws RefusedException {
+        if (words.length != number) {
+            throw new RefusedException(words[0] + (number == 1 ? " takes no word more" : " takes one id"));
+        }
+    }
+
+    /** A caller's connection. */
+    private final class Caller extends SimpleChannelInboundHandler<ByteBuf> {
+        private final SocketChannel channel;
+        private final Future<?> end;
+        private boolean answered;
+
+        Caller(SocketChannel channel) {
+            this.channel = channel;
+            end = loop.schedule(() -> channel.close(), MOST_CALL_MS, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, ByteBuf line) {
+            if (!answered) {
+                say(answer(line.toString(StandardCharsets.UTF_8)));
+            }
+        }
+
+        private void say(String answer) {
+            answered = true;
+            // Not closed yet: with more of the caller's unread, that would break the answer off.
+            channel.writeAndFlush(Unpooled.copiedBuffer(answer + "\n", StandardCharsets.UTF_8))
+                    .addListener(written -> channel.shutdownOutput());
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            end.cancel(false);
+            callers.remove(this);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (cause instanceof TooLongFrameException && !answered) {
+                say("NO line too long");
+            } else if (!(cause instanceof IOException) && !(cause instanceof TooLongFrameException)) {
+                Log.error("connection to an operator", cause);
+                channel.close();
+            }
+        }
+    }
+}
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -1,6 +1,7 @@
 package kitemux.node;
 
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -31,6 +32,7 @@
 import kitemux.Balancer.Request;
 import kitemux.Balancer.Result;
 import kitemux.ServiceQBalancer;
+import kitemux.node.Counters.Ending;
 
 /**
  * A real node: it carries what happens on the sockets to the decision module and what the module asks for
@@ -45,15 +47,30 @@
     private static final long PROBE_US = 1_000_000;
     private static final long HOUSEKEEPING_MS = 250;
 
+    /** At a planned end the process is killed after the longest deadline, counted so at most, and a while. */
+    private static final long MOST_DEADLINE_US = 3_000_000;
+    private static final long KILL_US = 700_000;
+    /** So long before that all that is held has its answer. */
+    private static final long ROOM_US = 200_000;
+    /** A request that comes to a node that ends should have so long until then, as most need less. */
+    private static final long LAST_ASKED_US = 800_000;
+
     private final NodeConfig config;
     private final EventLoop loop;
     private final Clock clock = new Clock();
+    private final Counters counters = new Counters();
+    private final Cordons cordons;
+    private final ControlServer control;
+    private boolean serves;
+    private long endsAtUs = Long.MAX_VALUE;
     private final ServerPool pool;
     private final ClientServer clients;
     private final Discovery discovery;
     private final Balancer balancer;
 
     private final Map<Long, Held> held = new HashMap<>();
+    /** How many of these have had no final answer. */
+    private int open;
     private long lastId;
     /** What the module is still to be told: nothing is fed back into it from inside one of its events. */
     private final ArrayDeque<Event> events = new ArrayDeque<>();
@@ -90,7 +107,11 @@
     Node(NodeConfig config, EventLoop loop, Function<Balancer.Actions, Balancer> module) {
         this.config = config;
         this.loop = loop;
-        Sockets sockets = new Sockets(config.sockets());
+        boolean operated = config.operators().control() != null;
+        cordons = new Cordons(operated ? config.operators().folder() : null);
+        control = operated ? new ControlServer(loop, new Operated()) : null;
+        counters.report(config.settings().classes);
+        Sockets sockets = new Sockets(config.sockets(), operated ? ControlServer.SOCKETS : 0);
         pool = new ServerPool(loop, sockets, clock, config.settings().connectTimeoutUs, config.connIdleUs());
         clients = new ClientServer(loop, new RequestReader(config.settings()), sockets,
                 new ClientServer.Handler() {
@@ -103,7 +124,7 @@
                     public void left(ClientServer.Client client) {
                         Held gone = client.held;
                         tell(gone, () -> {
-                            gone.ended = true;
+                            end(gone);
                             balancer.onClientGone(clock.nowUs(), gone.id);
                             forgetIfOver(gone);
                         });
@@ -129,8 +150,10 @@
     /** Runs a node until SIGTERM; a bad configuration ends it with one line and exit code 2. */
     public static void run(Map<String, String> env) {
         NodeConfig config;
+        ServerSocketChannel inherited;
         try {
             config = NodeConfig.read(env);
+            inherited = config.operators().inherits() ? InheritedSocket.open() : null;
         } catch (ConfigException e) {
             System.err.println("kitemux: " + e.getMessage());
             System.exit(2);
@@ -139,15 +162,16 @@
         EventLoop loop = newLoop();
         Node node = new Node(config, loop);
         HangUp.handle(() -> node.reload(env));
+        ChannelFuture control = node.startControl();
+        if (control != null) {
+            awaitListening("control " + config.operators().control(), control);
+            Log.line("operators at " + control.channel().localAddress());
+        }
         long rehearsed = Rehearsal.play(config, loop);
         if (rehearsed < Rehearsal.REQUESTS) {
             Log.line("rehearsal cut short after " + rehearsed + " of " + Rehearsal.REQUESTS + " requests");
         }
-        ChannelFuture listening = node.start().awaitUninterruptibly();
-        if (!listening.isSuccess()) {
-            System.err.println("kitemux: listen " + config.listen() + ": " + listening.cause().getMessage());
-            System.exit(2);
-        }
+        awaitListening("listen " + config.listen(), node.start(inherited));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             CountDownLatch empty = new CountDownLatch(1);
             node.drain(empty::countDown);
@@ -160,13 +184,30 @@
         Log.line("listening on " + config.listen());
     }
 
+    private static void awaitListening(String where, ChannelFuture listening) {
+        if (!listening.awaitUninterruptibly().isSuccess()) {
+            System.err.println("kitemux: " + where + ": " + listening.cause().getMessage());
+            System.exit(2);
+        }
+    }
+
     static EventLoop newLoop() {
         return (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     }
 
+    /** Opens the address for operators, which says no until clients can connect; null without one. */
+    ChannelFuture startControl() {
+        return control == null ? null : control.listen(config.operators().control());
+    }
+
     /** Begins to serve; the future is done once clients can connect. */
     ChannelFuture start() {
+        return start(null);
+    }
+
+    ChannelFuture start(ServerSocketChannel inherited) {
         loop.execute(() -> {
+            heedCordons();
             list(config.known(), ListKind.CACHED);
             if (config.discovery() != null && !config.settings().listOnRequest) {
                 discovery.keepSubscribed();
@@ -175,8 +216,43 @@
         housekeeping = loop.scheduleAtFixedRate(() -> {
             pool.closeOld();
             clients.closeOld();
+            heedCordons();
         }, HOUSEKEEPING_MS, HOUSEKEEPING_MS, TimeUnit.MILLISECONDS);
-        return clients.listen(config.listen());
+        return clients.listen(config.listen(), inherited)
+                .addListener(listening -> serves = listening.isSuccess());
+    }
+
+    /** Follows what another process of this node was told. */
+    private void heedCordons() {
+        if (cordons.refresh()) {
+            cordon();
+        }
+    }
+
+    private void cordon() {
+        tell(null, () -> {
+            pool.cordon(cordons.out());
+            balancer.onCordoned(clock.nowUs(), cordons.out());
+        });
+    }
+
+    /** What operators call for. */
+    private final class Operated implements ControlServer.Node {
+        @Override
+        public boolean serves() {
+            return serves;
+        }
+
+        @Override
+        public String figures() {
+            return counters.text(new Counters.Gauges(open, pool.listed(), balancer.skipped()));
+        }
+
+        @Override
+        public void cordon(String serverId, boolean out) throws ControlServer.RefusedException {
+            cordons.change(serverId, out);
+            Node.this.cordon();
+        }
     }
 
     /** Follows discovery to where the file now says it is. All else in the file holds from the next start. */
@@ -192,7 +268,19 @@
 
     /** Says no to the front, serves what still comes, and calls back once nothing is held. */
     void drain(Runnable whenEmpty) {
-        loop.execute(() -> clients.drain(whenEmpty));
+        loop.execute(() -> {
+            serves = false;
+            Log.line("draining, " + open + " requests open");
+            if (!config.operators().inherits()) {
+                clients.drain(whenEmpty);
+                return;
+            }
+            long longest = config.settings().classes.stream()
+                    .mapToLong(Balancer.RequestClass::deadlineUs).max().orElse(0);
+            long leftUs = Math.min(MOST_DEADLINE_US, longest) + KILL_US - ROOM_US;
+            endsAtUs = clock.nowUs() + leftUs;
+            clients.handOver(Math.max(0, leftUs - LAST_ASKED_US) / 1_000, whenEmpty);
+        });
     }
 
     /** Lets go of all sockets and timers at once. */
@@ -203,6 +291,9 @@
                 wake.cancel(false);
             }
             clients.close();
+            if (control != null) {
+                control.close();
+            }
             pool.close();
             discovery.close();
         });
@@ -244,14 +335,16 @@
             // The pool first, as the module sends to new servers at once. What it frees from a draining
             // server is told after the list: the module would else send it there again.
             pool.update(list);
+            cordons.listed(list);
             balancer.onServers(clock.nowUs(), kind, list.hosts().stream().map(HostList.Host::entry).toList());
         });
     }
 
     private void take(ClientServer.Client client, ClientRequest request) {
         long now = clock.nowUs();
-        Held taken = new Held(++lastId, request, client, now + request.leftUs());
+        Held taken = new Held(++lastId, request, client, Math.min(endsAtUs, now + request.leftUs()));
         client.held = taken;
+        open++;
         held.put(taken.id, taken);
         tell(taken, () -> balancer.onRequest(clock.nowUs(), new Request(taken.id, request.classIndex(),
                 request.tenant(), Math.max(0, taken.deadlineUs - clock.nowUs()), request.workUs(),
@@ -295,6 +388,11 @@
             return message;
         }
 
+        @Override
+        public void written() {
+            counters.tried();
+        }
+
         void begin() {
             of.outstanding++;
             if (untilUs <= sentAtUs || number >= config.settings().maxAttempts || of.ended) {
@@ -354,11 +452,22 @@
         if (request.ended) {
             return;
         }
-        request.ended = true;
+        end(request);
+        counters.handled(config.settings().classes.get(request.request.classIndex()).name(),
+                switch (status.code()) {
+                    case 200 -> Ending.PASSED;
+                    case 503 -> Ending.DROPPED;
+                    default -> Ending.BAD_GATEWAY;
+                });
         request.client.answer(status, body, retryAfterUs);
         forgetIfOver(request);
     }
 
+    private void end(Held request) {
+        open -= request.ended ? 0 : 1;
+        request.ended = true;
+    }
+
     // ---------------------------------------------------------------- what the module asks for
 
     @Override
@@ -449,6 +558,11 @@
             return message;
         }
 
+        @Override
+        public void written() {
+            // No client's request: it counts for nothing.
+        }
+
         @Override
         public void reported(String load) {
             report = LoadReport.decode(load, config.settings().reportFields);
--- a/src/main/java/kitemux/node/NodeConfig.java
+++ b/src/main/java/kitemux/node/NodeConfig.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,9 +28,32 @@
  * @param connIdleUs after so long servers close idle connections
  * @param known the server list as this node last had it
  * @param settings the module's
+ * @param operators what is only there for operators
  */
 record NodeConfig(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        long connIdleUs, HostList known, Settings settings) {
+        long connIdleUs, HostList known, Settings settings, Operators operators) {
+
+    /**
+     * What a node has only where operators run it day by day.
+     *
+     * @param control where they call; null without such an address
+     * @param folder what processes of this node hand on to each other; null if nothing is
+     * @param inherits whether the platform holds the clients' listening socket
+     */
+    record Operators(InetSocketAddress control, Path folder, boolean inherits) {
+        static final Operators NONE = new Operators(null, null, false);
+
+        private static Operators read(Map<String, String> env, JsonNode json) throws ConfigException {
+            String control = env.getOrDefault("PROXY_CONTROL", json.path("control").asText());
+            String folder = env.getOrDefault("TMPDIR", "");
+            String descriptor = env.getOrDefault("PROXY_SOCKET_FD", "");
+            if (!descriptor.isEmpty() && !descriptor.equals("0")) {
+                throw new ConfigException("PROXY_SOCKET_FD", "is not 0, which alone can be used: " + descriptor);
+            }
+            return new Operators(control.isEmpty() ? null : address("control", control),
+                    folder.isEmpty() ? null : Path.of(folder), !descriptor.isEmpty());
+        }
+    }
 
     private static final int LEAST_SOCKETS = 64;
     private static final long DEFAULT_CONN_IDLE_US = 15_000_000;
@@ -53,7 +77,7 @@
         String discovery = env.getOrDefault("PROXY_DISCOVERY", json.path("discovery").asText());
         return new NodeConfig(address("listen", listen), address("discovery", discovery),
                 seed(json.path("seed").asText()), sockets.asInt(), idle, known(json, settings.zones),
-                settings);
+                settings, Operators.read(env, json));
     }
 
     /** Where discovery is by the file as it stands; the environment tells only where it was at the start. */
@@ -117,7 +141,7 @@
         apart.maxAttempts = settings.maxAttempts;
         apart.cancel = settings.cancel;
         return new NodeConfig(new InetSocketAddress(listen.getAddress(), 0), null, seed, sockets,
-                connIdleUs, servers, apart);
+                connIdleUs, servers, apart, Operators.NONE);
     }
 
     private static HostList known(JsonNode json, List<String> zones) throws ConfigException {
--- a/src/main/java/kitemux/node/ServerPool.java
+++ b/src/main/java/kitemux/node/ServerPool.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -38,6 +39,9 @@
         /** The message; asked for once, when a connection is there to carry it. */
         FullHttpRequest message();
 
+        /** The message has been written whole. */
+        void written();
+
         /** What the server says of its load, as it is written; told ahead of the end it came with. */
         void reported(String load);
 
@@ -55,6 +59,8 @@
     private final Map<String, Upstream> upstreams = new HashMap<>();
     /** The connections that carry an exchange. */
     private final Map<Exchange, Connection> carriers = new HashMap<>();
+    /** Servers that get nothing new, whatever the list says of them. */
+    private Set<String> cordoned = Set.of();
 
     ServerPool(EventLoop loop, Sockets sockets, Clock clock, long connectTimeoutUs, long connIdleUs) {
         this.loop = loop;
@@ -81,6 +87,7 @@
         final ArrayDeque<Exchange> awaiting = new ArrayDeque<>();
         InetSocketAddress endpoint;
         long startedAtUs;
+        boolean listedReady;
         boolean ready;
         int dialing;
 
@@ -110,7 +117,8 @@
                     || host.entry().startedAtUs() > upstream.startedAtUs;
             upstream.endpoint = host.endpoint();
             upstream.startedAtUs = host.entry().startedAtUs();
-            upstream.ready = host.entry().state() == ServerState.READY;
+            upstream.listedReady = host.entry().state() == ServerState.READY;
+            upstream.ready = upstream.listedReady && !cordoned.contains(id);
             if (moved || !upstream.ready) {
                 List.copyOf(upstream.idle).stream().filter(c -> !c.isUsable()).forEach(Connection::close);
             }
@@ -121,6 +129,23 @@
         missing.keySet().forEach(this::remove);
     }
 
+    /** How many servers are listed, whatever their state. */
+    int listed() {
+        return upstreams.size();
+    }
+
+    /** These and no others are kept out by hand: as with a drain, also what awaits a connection is freed. */
+    void cordon(Set<String> ids) {
+        cordoned = ids;
+        for (Upstream upstream : upstreams.values()) {
+            upstream.ready = upstream.listedReady && !ids.contains(upstream.id);
+            if (!upstream.ready) {
+                closeAll(upstream.idle);
+                turnAway(upstream);
+            }
+        }
+    }
+
     private void remove(String id) {
         Upstream upstream = upstreams.remove(id);
         if (upstream != null) {
@@ -291,6 +316,7 @@
             channel.writeAndFlush(message).addListener(done -> {
                 if (done.isSuccess()) {
                     written |= exchange == next;
+                    next.written();
                 } else {
                     close();
                 }
--- a/src/main/java/kitemux/node/Sockets.java
+++ b/src/main/java/kitemux/node/Sockets.java
@@ -11,8 +11,9 @@
     private int open;
     private int clients;
 
-    Sockets(int limit) {
-        most = Math.max(8, limit - RESERVED);
+    /** With this limit, of which others hold so many besides what is always reserved. */
+    Sockets(int limit, int others) {
+        most = Math.max(8, limit - RESERVED - others);
     }
 
     void opened() {
--- /dev/null
+++ b/src/test/java/kitemux/node/RestartTest.java
@@ -0,0 +1,211 @@
+package kitemux.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.Writer;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import kitemux.Main;
+
+/** Processes of one node that follow each other on a listening socket that the platform holds. */
+class RestartTest {
+    private static final int CLIENTS = 4;
+
+    /** The platform: it holds the socket and starts programs with it as descriptor 0, as Java cannot. */
+    private static final String PLATFORM = """
+            use Socket; use POSIX (); $| = 1; $SIG{CHLD} = 'IGNORE';
+            socket(my $held, PF_INET, SOCK_STREAM, 0) or die;
+            bind($held, sockaddr_in(0, INADDR_LOOPBACK)) or die;
+            if ($ARGV[0] eq 'listen') { listen($held, 128) or die }
+            print((sockaddr_in(getsockname($held)))[0], "\\n");
+            while (my $line = <STDIN>) {
+              chomp $line; my ($log, $control, @program) = split /\\t/, $line; my $pid = fork;
+              if (!$pid) {
+                open(STDOUT, '>', $log); open(STDERR, '>&', STDOUT); POSIX::dup2(fileno($held), 0);
+                $ENV{PROXY_CONTROL} = $control; exec @program or die;
+              }
+              print "$pid\\n";
+            }
+            """;
+
+    private static Process platform(String socket, Map<String, String> env) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder("perl", "-e", PLATFORM, socket);
+        builder.environment().putAll(env);
+        return builder.redirectError(ProcessBuilder.Redirect.INHERIT).start();
+    }
+
+    /** Starts the program on the platform's socket; its log goes to this file. */
+    private static ProcessHandle program(Process platform, Path log) throws IOException {
+        String java = ProcessHandle.current().info().command().orElseThrow();
+        Writer in = platform.outputWriter();
+        in.write(String.join("\t", log.toString(), "127.0.0.1:0", java, "-XX:TieredStopAtLevel=1", "-cp",
+                System.getProperty("java.class.path"), Main.class.getName(), "node") + "\n");
+        in.flush();
+        String pid = platform.inputReader().readLine();
+        assertNotNull(pid, "the platform has ended");
+        return ProcessHandle.of(Long.parseLong(pid)).orElseThrow();
+    }
+
+    private static void await(BooleanSupplier condition, String what) {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < end, what);
+            Thread.onSpinWait();
+        }
+    }
+
+    private static String read(Path log) {
+        try {
+            return Files.exists(log) ? Files.readString(log) : "";
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static InetSocketAddress control(Path log) {
+        String said = "operators at /127.0.0.1:";
+        await(() -> read(log).contains(said) && read(log).substring(read(log).indexOf(said)).contains("\n"),
+                "no address for operators");
+        String rest = read(log).substring(read(log).indexOf(said) + said.length());
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(),
+                Integer.parseInt(rest.substring(0, rest.indexOf('\n'))));
+    }
+
+    private static String call(InetSocketAddress control, String line) {
+        try (Socket caller = new Socket(control.getAddress(), control.getPort())) {
+            Site.write(caller, line + "\n");
+            return new String(caller.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Asks again and again on connections that are kept until the node ends them; any failure is told. */
+    private static void client(int port, AtomicInteger served, AtomicInteger more) throws IOException {
+        Socket socket = null;
+        while (more.get() > 0) {
+            if (socket == null) {
+                socket = new Socket(InetAddress.getLoopbackAddress(), port);
+                socket.setSoTimeout(20_000);
+            }
+            String txn = "t" + served.incrementAndGet();
+            Http.Message answer = Site.ask(socket, Http.page("/api/x", txn, "5000m"));
+            assertEquals(200, answer.status());
+            assertEquals("two", answer.body(), "the server that is not cordoned");
+            if ("close".equals(answer.headers().get("connection"))) {
+                socket.close();
+                socket = null;
+            }
+        }
+        if (socket != null) {
+            socket.close();
+        }
+    }
+
+    private static Path config(Path folder, FarServer one, FarServer two) throws IOException {
+        return Files.writeString(folder.resolve("config.json"), """
+                {"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1","limits":{"sockets":256},
+                 "known":%s,
+                 "settings":{"zones":["here"],"limits":{"attemptsCap":4},
+                 "classes":[{"name":"page","onTimeUs":1000000,"giveUpUs":5000000,"repeat":"safe"}]}}
+                """.formatted(Site.list(1, true, "s0=" + one.endpoint() + "=Ready",
+                        "s1=" + two.endpoint() + "=Ready")));
+    }
+
+    @Test
+    void aNewProcessTakesOverUnderLoadAndNoRequestIsTurnedBack(@TempDir Path folder) throws Exception {
+        Process platform = null;
+        List<ProcessHandle> programs = new ArrayList<>();
+        ExecutorService clients = Executors.newFixedThreadPool(CLIENTS);
+        AtomicInteger more = new AtomicInteger(1);
+        try (FarServer one = FarServer.serving("one"); FarServer two = FarServer.serving("two")) {
+            platform = platform("listen", Map.of("PROXY_CONFIG", config(folder, one, two).toString(),
+                    "PROXY_SOCKET_FD", "0", "TMPDIR", folder.toString()));
+            BufferedReader said = platform.inputReader();
+            int port = Integer.parseInt(said.readLine());
+            Path oldLog = folder.resolve("old.log");
+            programs.add(program(platform, oldLog));
+            InetSocketAddress before = control(oldLog);
+            await(() -> call(before, "health").equals("YES\n"), "the first process does not serve");
+            assertEquals("YES\n", call(before, "cordon s0"));
+            AtomicInteger served = new AtomicInteger();
+            List<Future<?>> runs = new ArrayList<>();
+            for (int i = 0; i < CLIENTS; i++) {
+                runs.add(clients.submit(() -> {
+                    client(port, served, more);
+                    return null;
+                }));
+            }
+            Path newLog = folder.resolve("new.log");
+            programs.add(program(platform, newLog));
+            InetSocketAddress after = control(newLog);
+            await(() -> call(after, "health").equals("YES\n"), "the second process does not serve");
+            int atTerm = served.get();
+            assertTrue(atTerm > 0);
+            assertTrue(programs.get(0).destroy(), "told to end");
+            await(() -> !programs.get(0).isAlive(), "the first process goes on");
+            assertTrue(read(oldLog).contains("draining"), "the log outlasts the socket: " + read(oldLog));
+            int atEnd = served.get();
+            await(() -> served.get() > atEnd + 100, "the second process serves nothing");
+            more.set(0);
+            for (Future<?> run : runs) {
+                run.get(30, TimeUnit.SECONDS);
+            }
+            String figures = call(after, "counters");
+            int passed = Integer.parseInt(figures.replaceAll("(?s).*outcome=\"passed\"} (\\d+).*", "$1"));
+            assertTrue(passed >= 100 && passed < served.get(), "counted from 0: " + figures);
+            assertTrue(figures.contains("outcome=\"dropped\"} 0\n"), figures);
+            assertTrue(figures.contains("node_skipped_app_servers 1\n"), figures);
+            assertTrue(one.requests.isEmpty(), "cordoned before either served clients");
+            assertEquals("YES\n", call(after, "uncordon s0"));
+        } finally {
+            more.set(0);
+            clients.shutdownNow();
+            programs.forEach(ProcessHandle::destroyForcibly);
+            if (platform != null) {
+                platform.destroy();
+            }
+        }
+    }
+
+    @Test
+    void aDescriptorThatIsNoListeningSocketEndsTheStart(@TempDir Path folder) throws Exception {
+        try (FarServer one = FarServer.serving("one"); FarServer two = FarServer.serving("two")) {
+            String java = ProcessHandle.current().info().command().orElseThrow();
+            for (String descriptor : new String[] {"0", "3"}) {
+                ProcessBuilder builder = new ProcessBuilder(java, "-XX:TieredStopAtLevel=1", "-cp",
+                        System.getProperty("java.class.path"), Main.class.getName(), "node");
+                builder.environment().put("PROXY_CONFIG", config(folder, one, two).toString());
+                builder.environment().put("PROXY_SOCKET_FD", descriptor);
+                Process process = builder.redirectErrorStream(true).start();
+                String line = process.inputReader().readLine();
+                assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+                assertEquals(2, process.exitValue());
+                assertTrue(line.startsWith("kitemux: PROXY_SOCKET_FD "), line);
+                assertFalse(line.isBlank());
+            }
+        }
+    }
+}
--- a/src/test/java/kitemux/node/Site.java
+++ b/src/test/java/kitemux/node/Site.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -33,7 +34,11 @@
     long connIdleUs = 60_000_000;
     /** The decision module; a test may put a faulty one in its place. */
     Function<Balancer.Actions, Balancer> module;
+    /** Whether the node has an address for operators, and what it shares with other processes of the node. */
+    boolean operated;
+    Path folder;
     Node node;
+    InetSocketAddress control;
     private InetSocketAddress address;
     private final List<Socket> clients = new ArrayList<>();
 
@@ -82,10 +87,15 @@
         return "{\"rev\":" + rev + ",\"all\":" + all + ",\"targets\":[" + targets + "]}";
     }
 
+    private static InetSocketAddress anyPort() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    }
+
     NodeConfig config(String known) throws Exception {
-        return new NodeConfig(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+        return new NodeConfig(anyPort(),
                 NodeConfig.address("discovery", discovery.endpoint()), 7, sockets, connIdleUs,
-                HostList.decode(new ObjectMapper().readTree(known), settings.zones, ""), settings);
+                HostList.decode(new ObjectMapper().readTree(known), settings.zones, ""), settings,
+                new NodeConfig.Operators(operated ? anyPort() : null, folder, false));
     }
 
     /** Starts the node with the servers s0, s1, ... */
@@ -98,7 +108,19 @@
     }
 
     Site startKnowing(String known) throws Exception {
+        control(known);
+        return begin();
+    }
+
+    /** Makes a node that does not serve clients yet. */
+    void control(String known) throws Exception {
         node = new Node(config(known), loop, module);
+        if (operated) {
+            control = (InetSocketAddress) node.startControl().sync().channel().localAddress();
+        }
+    }
+
+    Site begin() throws Exception {
         address = (InetSocketAddress) node.start().sync().channel().localAddress();
         return this;
     }
@@ -110,6 +132,25 @@
         return client;
     }
 
+    /** What the node answers to a call at its address for operators, to the end. */
+    String call(String line) throws IOException {
+        try (Socket caller = new Socket(control.getAddress(), control.getPort())) {
+            caller.setSoTimeout(20_000);
+            write(caller, line);
+            return new String(caller.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    /** Waits until a figure has this value. */
+    void awaitFigure(String line) throws IOException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        String figures = call("counters\n");
+        while (!figures.contains(line + "\n")) {
+            assertTrue(System.nanoTime() < end, "no " + line + " in\n" + figures);
+            figures = call("counters\n");
+        }
+    }
+
     /** Waits until connections are refused: the system closes a listener with the loop's next select. */
     void awaitRefusal() {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
