Take a configuration file whole at SIGHUP, or not at all, with its classes and attempts

Cause: reload() read nothing but 'discovery', also from a file that was otherwise broken, and moved its watch there. Ruled out by ReloadTest: the watch itself, which moves as it should when the file is whole. Now NodeConfig.again() reads the file as at the start, wants every setting that was there before, and Node.retune() takes it at once; open requests keep the place of their class and their attempts.

--- a/src/main/java/kitemux/adapter/BootInfo.java
+++ b/src/main/java/kitemux/adapter/BootInfo.java
@@ -73,7 +73,8 @@
         }
         set.overShareWorth = decimal("overShareWorth", set.overShareWorth);
         set.worthByWork = "work".equals(values.get("countedBy"));
-        set.maxAttempts = (int) whole("limits.attemptsCap", set.maxAttempts);
+        set.maxAttempts = values.containsKey("limits.attemptsCap")
+                ? (int) Math.min(Integer.MAX_VALUE, positive("limits.attemptsCap")) : set.maxAttempts;
         set.secondCopies = flag("limits.parallelTries");
         set.cancel = flag("limits.cancelling");
         set.probes = flag("limits.probes");
@@ -107,7 +108,7 @@
         String repeat = need(prefix + "repeat");
         String group = values.getOrDefault(prefix + "group", "all");
         return new RequestClass(need(prefix + "name"), whole(prefix + "onTimeUs"),
-                decimal(prefix + "aimStretch", 0), whole(prefix + "giveUpUs"),
+                decimal(prefix + "aimStretch", 0), positive(prefix + "giveUpUs"),
                 decimal(prefix + "importance", 1), decimal(prefix + "lateWorth", 0),
                 switch (repeat) {
                     case "safe" -> Repeat.SAFE;
@@ -146,6 +147,14 @@
         };
     }
 
+    private long positive(String path) throws BadSettingException {
+        double value = decimal(path, need(path));
+        if (value < 1 || value != Math.rint(value)) {
+            throw new BadSettingException(path, "is not positive and whole: " + need(path));
+        }
+        return (long) value;
+    }
+
     private long whole(String path) throws BadSettingException {
         return (long) decimal(path, need(path));
     }
@@ -167,6 +176,6 @@
         } catch (NumberFormatException e) {
             // Named below.
         }
-        throw new BadSettingException(path, "is not a number");
+        throw new BadSettingException(path, "is not a number: " + text);
     }
 }
--- a/src/main/java/kitemux/node/ClientServer.java
+++ b/src/main/java/kitemux/node/ClientServer.java
@@ -59,7 +59,7 @@
     private static final long LINGER_MS = 1_000;
 
     private final EventLoopGroup loop;
-    private final RequestReader reader;
+    private RequestReader reader;
     private final Sockets sockets;
     private final Handler handler;
     /** All connections, the longest unused first. */
@@ -99,6 +99,11 @@
         return opening;
     }
 
+    /** Requests that come from now on are read by this. */
+    void readBy(RequestReader next) {
+        reader = next;
+    }
+
     private void accepted(SocketChannel channel) {
         sockets.clientOpened();
         channel.closeFuture().addListener(done -> sockets.clientClosed());
--- a/src/main/java/kitemux/node/Discovery.java
+++ b/src/main/java/kitemux/node/Discovery.java
@@ -101,8 +101,9 @@
 
     /** Discovery has moved: a watch that is open, or about to be opened again, goes on there at once. */
     void moveTo(InetSocketAddress to) {
+        boolean moved = !to.equals(address);
         address = to;
-        if (kept || current != null) {
+        if (moved && (kept || current != null)) {
             subscribe();
         }
     }
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -56,6 +56,7 @@
     private static final long LAST_ASKED_US = 800_000;
 
     private final NodeConfig config;
+    private Tuning tuning;
     private final EventLoop loop;
     private final Clock clock = new Clock();
     private final Counters counters = new Counters();
@@ -87,15 +88,17 @@
         private final long id;
         private final ClientRequest request;
         private final ClientServer.Client client;
+        private final int maxAttempts;
         private final long deadlineUs;
         private final List<Attempt> attempts = new ArrayList<>(1);
         private int outstanding;
         private boolean ended;
 
-        Held(long id, ClientRequest request, ClientServer.Client client, long deadlineUs) {
+        Held(long id, ClientRequest request, ClientServer.Client client, int maxAttempts, long deadlineUs) {
             this.id = id;
             this.request = request;
             this.client = client;
+            this.maxAttempts = maxAttempts;
             this.deadlineUs = deadlineUs;
         }
     }
@@ -113,7 +116,8 @@
         counters.report(config.settings().classes);
         Sockets sockets = new Sockets(config.sockets(), operated ? ControlServer.SOCKETS : 0);
         pool = new ServerPool(loop, sockets, clock, config.settings().connectTimeoutUs, config.connIdleUs());
-        clients = new ClientServer(loop, new RequestReader(config.settings()), sockets,
+        tuning = Tuning.first(config.settings());
+        clients = new ClientServer(loop, new RequestReader(tuning), sockets,
                 new ClientServer.Handler() {
                     @Override
                     public void asked(ClientServer.Client client, ClientRequest request) {
@@ -255,15 +259,37 @@
         }
     }
 
-    /** Follows discovery to where the file now says it is. All else in the file holds from the next start. */
-    private void reload(Map<String, String> env) {
+    /**
+     * Takes the file as it now is, where it can all be taken, or leaves everything as it was. One at a time:
+     * of two signals in quick succession the later one reads later, and must be heeded last.
+     */
+    synchronized void reload(Map<String, String> env) {
         try {
-            InetSocketAddress address = NodeConfig.discoveryNow(env);
-            Log.line("discovery is at " + address);
-            loop.execute(() -> discovery.moveTo(address));
+            NodeConfig read = config.again(env);
+            loop.execute(() -> retune(read));
         } catch (ConfigException e) {
             Log.line("kitemux: reload: " + e.getMessage());
-        }
+            loop.execute(counters::loadFailed);
+        }
+    }
+
+    private void retune(NodeConfig read) {
+        Log.line("configuration taken, discovery is at " + read.discovery());
+        counters.loaded();
+        counters.report(read.settings().classes);
+        Tuning next = tuning.then(read.settings());
+        tuning = next;
+        tell(null, () -> balancer.onSettings(clock.nowUs(), next.settings()));
+        clients.readBy(new RequestReader(next));
+        pool.tune(next.settings().connectTimeoutUs, read.connIdleUs());
+        discovery.moveTo(read.discovery());
+        loop.schedule(() -> {
+            // Unless another file has been taken since.
+            if (tuning == next) {
+                tuning = next.settled();
+                clients.readBy(new RequestReader(tuning));
+            }
+        }, next.settlesAfterUs(), TimeUnit.MICROSECONDS);
     }
 
     /** Says no to the front, serves what still comes, and calls back once nothing is held. */
@@ -275,7 +301,7 @@
                 clients.drain(whenEmpty);
                 return;
             }
-            long longest = config.settings().classes.stream()
+            long longest = tuning.known().stream()
                     .mapToLong(Balancer.RequestClass::deadlineUs).max().orElse(0);
             long leftUs = Math.min(MOST_DEADLINE_US, longest) + KILL_US - ROOM_US;
             endsAtUs = clock.nowUs() + leftUs;
@@ -342,7 +368,8 @@
 
     private void take(ClientServer.Client client, ClientRequest request) {
         long now = clock.nowUs();
-        Held taken = new Held(++lastId, request, client, Math.min(endsAtUs, now + request.leftUs()));
+        Held taken = new Held(++lastId, request, client, tuning.settings().maxAttempts,
+                Math.min(endsAtUs, now + request.leftUs()));
         client.held = taken;
         open++;
         held.put(taken.id, taken);
@@ -377,7 +404,7 @@
                     request.uri(), Unpooled.wrappedBuffer(request.body()));
             message.headers().set(HttpHeaderNames.HOST, "backend.local")
                     .set("X-Txn", request.txn())
-                    .set("X-Lane", config.settings().classes.get(request.classIndex()).name())
+                    .set("X-Lane", className(of))
                     .set("X-Remaining", Math.max(1, untilUs - clock.nowUs()) + "u");
             if (request.idempotencyKey() != null) {
                 message.headers().set("Idempotency-Key", request.idempotencyKey());
@@ -395,7 +422,7 @@
 
         void begin() {
             of.outstanding++;
-            if (untilUs <= sentAtUs || number >= config.settings().maxAttempts || of.ended) {
+            if (untilUs <= sentAtUs || number >= of.maxAttempts || of.ended) {
                 ended(Result.MOOT, NO_BODY);
                 return;
             }
@@ -453,16 +480,19 @@
             return;
         }
         end(request);
-        counters.handled(config.settings().classes.get(request.request.classIndex()).name(),
-                switch (status.code()) {
-                    case 200 -> Ending.PASSED;
-                    case 503 -> Ending.DROPPED;
-                    default -> Ending.BAD_GATEWAY;
-                });
+        counters.handled(className(request), switch (status.code()) {
+            case 200 -> Ending.PASSED;
+            case 503 -> Ending.DROPPED;
+            default -> Ending.BAD_GATEWAY;
+        });
         request.client.answer(status, body, retryAfterUs);
         forgetIfOver(request);
     }
 
+    private String className(Held request) {
+        return tuning.known().get(request.request.classIndex()).name();
+    }
+
     private void end(Held request) {
         open -= request.ended ? 0 : 1;
         request.ended = true;
--- a/src/main/java/kitemux/node/NodeConfig.java
+++ b/src/main/java/kitemux/node/NodeConfig.java
@@ -6,8 +6,11 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -15,6 +18,7 @@
 
 import io.netty.util.NetUtil;
 
+import kitemux.Balancer.RequestClass;
 import kitemux.Balancer.Settings;
 import kitemux.adapter.BootInfo;
 
@@ -28,10 +32,11 @@
  * @param connIdleUs after so long servers close idle connections
  * @param known the server list as this node last had it
  * @param settings the module's
+ * @param settingKeys the names of all settings that the file holds
  * @param operators what is only there for operators
  */
 record NodeConfig(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        long connIdleUs, HostList known, Settings settings, Operators operators) {
+        long connIdleUs, HostList known, Settings settings, Set<String> settingKeys, Operators operators) {
 
     /**
      * What a node has only where operators run it day by day.
@@ -48,7 +53,7 @@
             String folder = env.getOrDefault("TMPDIR", "");
             String descriptor = env.getOrDefault("PROXY_SOCKET_FD", "");
             if (!descriptor.isEmpty() && !descriptor.equals("0")) {
-                throw new ConfigException("PROXY_SOCKET_FD", "is not 0, which alone can be used: " + descriptor);
+                throw new ConfigException("PROXY_SOCKET_FD", "is not 0, the only one: " + descriptor);
             }
             return new Operators(control.isEmpty() ? null : address("control", control),
                     folder.isEmpty() ? null : Path.of(folder), !descriptor.isEmpty());
@@ -64,7 +69,9 @@
         if (!json.isObject() || !json.path("settings").isObject()) {
             throw new ConfigException("settings", "is missing or not an object");
         }
-        Settings settings = settings(json.get("settings"));
+        Map<String, String> flat = new HashMap<>();
+        flatten("", json.get("settings"), flat);
+        Settings settings = settings(flat);
         JsonNode sockets = json.path("limits").path("sockets");
         if (!sockets.canConvertToInt() || sockets.asInt() < LEAST_SOCKETS) {
             throw new ConfigException("limits.sockets", "is missing or under " + LEAST_SOCKETS);
@@ -77,12 +84,44 @@
         String discovery = env.getOrDefault("PROXY_DISCOVERY", json.path("discovery").asText());
         return new NodeConfig(address("listen", listen), address("discovery", discovery),
                 seed(json.path("seed").asText()), sockets.asInt(), idle, known(json, settings.zones),
-                settings, Operators.read(env, json));
+                settings, keys(json.get("settings"), ""), Operators.read(env, json));
+    }
+
+    /**
+     * The file as it stands, for a node that runs by this configuration. The environment tells only where
+     * discovery was at the start. Defaults are for settings that a file never had: one that is gone from the
+     * file was lost on the way, and the rest of that file is not to be trusted either.
+     */
+    NodeConfig again(Map<String, String> env) throws ConfigException {
+        Map<String, String> now = new HashMap<>(env);
+        now.remove("PROXY_DISCOVERY");
+        NodeConfig read = read(now);
+        for (String key : settingKeys) {
+            if (!read.settingKeys.contains(key)) {
+                throw new ConfigException("settings." + key, "is missing, and was there before");
+            }
+        }
+        return read;
     }
 
-    /** Where discovery is by the file as it stands; the environment tells only where it was at the start. */
-    static InetSocketAddress discoveryNow(Map<String, String> env) throws ConfigException {
-        return address("discovery", file(env).path("discovery").asText());
+    /** All names in this object; of what stands in a list, those that every entry has. */
+    private static Set<String> keys(JsonNode json, String prefix) {
+        Set<String> keys = new TreeSet<>();
+        json.properties().forEach(field -> {
+            String name = prefix + field.getKey();
+            JsonNode value = field.getValue();
+            if (!value.isNull()) {
+                keys.add(name);
+            }
+            if (value.isObject()) {
+                keys.addAll(keys(value, name + "."));
+            } else if (value.isArray() && value.path(0).isObject()) {
+                Set<String> inAll = keys(value.get(0), name + "[].");
+                value.forEach(entry -> inAll.retainAll(keys(entry, name + "[].")));
+                keys.addAll(inAll);
+            }
+        });
+        return keys;
     }
 
     private static JsonNode file(Map<String, String> env) throws ConfigException {
@@ -91,7 +130,11 @@
             throw new ConfigException("PROXY_CONFIG", "is not set");
         }
         try {
-            return new ObjectMapper().readTree(new File(path));
+            JsonNode json = new ObjectMapper().readTree(new File(path));
+            if (json.isMissingNode()) {
+                throw new ConfigException("PROXY_CONFIG", "is empty");
+            }
+            return json;
         } catch (JsonProcessingException e) {
             throw new ConfigException("PROXY_CONFIG", "is not JSON: " + e.getOriginalMessage());
         } catch (IOException e) {
@@ -99,12 +142,16 @@
         }
     }
 
-    private static Settings settings(JsonNode json) throws ConfigException {
-        Map<String, String> flat = new HashMap<>();
-        flatten("", json, flat);
+    private static Settings settings(Map<String, String> flat) throws ConfigException {
         try {
             Settings settings = BootInfo.read(flat);
             settings.validate();
+            Set<String> names = new HashSet<>();
+            for (RequestClass c : settings.classes) {
+                if (!names.add(c.name())) {
+                    throw new ConfigException("settings.classes", "has two of the name " + c.name());
+                }
+            }
             return settings;
         } catch (BootInfo.BadSettingException e) {
             throw new ConfigException("settings." + e.field, e.reason);
@@ -141,7 +188,7 @@
         apart.maxAttempts = settings.maxAttempts;
         apart.cancel = settings.cancel;
         return new NodeConfig(new InetSocketAddress(listen.getAddress(), 0), null, seed, sockets,
-                connIdleUs, servers, apart, Operators.NONE);
+                connIdleUs, servers, apart, Set.of(), Operators.NONE);
     }
 
     private static HostList known(JsonNode json, List<String> zones) throws ConfigException {
--- a/src/main/java/kitemux/node/RequestReader.java
+++ b/src/main/java/kitemux/node/RequestReader.java
@@ -1,15 +1,13 @@
 package kitemux.node;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
+import java.util.Set;
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 
 import kitemux.Balancer.Repeat;
-import kitemux.Balancer.Settings;
 
 /** Reads a client's request by the protocol; what does not keep to it is turned down here. */
 final class RequestReader {
@@ -18,14 +16,10 @@
     private static final long WAY_US = 1_000;
     private static final double MOST_LEFT_US = 3.6e9;
 
-    private final Settings settings;
-    private final Map<String, Integer> classes = new HashMap<>();
-    private final Map<String, Integer> tenants = new HashMap<>();
+    private final Tuning tuning;
 
-    RequestReader(Settings settings) {
-        this.settings = settings;
-        settings.classes.forEach(c -> classes.put(c.name(), classes.size()));
-        settings.tenants.forEach(t -> tenants.put(t.name(), tenants.size()));
+    RequestReader(Tuning tuning) {
+        this.tuning = tuning;
     }
 
     static String path(String uri) {
@@ -39,27 +33,35 @@
 
     ClientRequest read(FullHttpRequest message) throws BadRequestException {
         String txn = need(message, "X-Txn");
-        Integer classIndex = classes.get(need(message, "X-Lane"));
-        if (classIndex == null) {
-            throw new BadRequestException("X-Lane names no class");
-        }
         String idempotencyKey = one(message, "Idempotency-Key");
-        Repeat repeat = settings.classes.get(classIndex).repeat();
-        // A class stands for one way to repeat: were another asked for, an effect could happen twice.
-        if (!message.method().equals(repeat == Repeat.SAFE ? HttpMethod.GET : HttpMethod.POST)) {
-            throw new BadRequestException("the class does not go with the method");
-        }
-        if (repeat == Repeat.KEYED == (idempotencyKey == null)) {
-            throw new BadRequestException("Idempotency-Key does not go with the class");
-        }
+        int classIndex = classIndex(need(message, "X-Lane"), message.method(), idempotencyKey != null);
         String tenant = one(message, "X-Org");
         String path = path(message.uri());
         String key = path.substring(path.lastIndexOf('/') + 1);
         return new ClientRequest(message.method(), message.uri(), txn, idempotencyKey,
                 ByteBufUtil.getBytes(message.content()), classIndex,
-                tenant == null ? -1 : tenants.getOrDefault(tenant, -1), left(need(message, "X-Remaining")),
-                work(one(message, "X-Estimate")), "1".equals(one(message, "X-Resent")),
-                key.isEmpty() ? null : key);
+                tenant == null ? -1 : tuning.tenants().getOrDefault(tenant, -1),
+                left(need(message, "X-Remaining")), work(one(message, "X-Estimate")),
+                "1".equals(one(message, "X-Resent")), key.isEmpty() ? null : key);
+    }
+
+    /**
+     * The class that the client means. A class stands for one way to repeat: were another asked for, an
+     * effect could happen twice. While its rules change, how a client asks tells by which of them.
+     */
+    private int classIndex(String name, HttpMethod method, boolean keyed) throws BadRequestException {
+        boolean methodFits = false;
+        for (int place : tuning.asked().getOrDefault(name, Set.of())) {
+            Repeat repeat = tuning.known().get(place).repeat();
+            boolean fits = method.equals(repeat == Repeat.SAFE ? HttpMethod.GET : HttpMethod.POST);
+            if (fits && repeat == Repeat.KEYED == keyed) {
+                return place;
+            }
+            methodFits |= fits;
+        }
+        throw new BadRequestException(!tuning.asked().containsKey(name) ? "X-Lane names no class"
+                : methodFits ? "Idempotency-Key does not go with the class"
+                : "the class does not go with the method");
     }
 
     private static String need(FullHttpRequest message, String name) throws BadRequestException {
--- a/src/main/java/kitemux/node/ServerPool.java
+++ b/src/main/java/kitemux/node/ServerPool.java
@@ -54,7 +54,7 @@
     private final Bootstrap dialer;
     private final EventLoop loop;
     private final Sockets sockets;
-    private final long connIdleUs;
+    private long connIdleUs;
     private final Clock clock;
     private final Map<String, Upstream> upstreams = new HashMap<>();
     /** The connections that carry an exchange. */
@@ -66,17 +66,22 @@
         this.loop = loop;
         this.sockets = sockets;
         this.clock = clock;
-        this.connIdleUs = connIdleUs;
         dialer = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, Node.ALLOCATOR)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutUs / 1_000))
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline().addLast(new StrictClientCodec());
                     }
                 });
+        tune(connectTimeoutUs, connIdleUs);
+    }
+
+    /** New connections may take this long to open, and idle ones are closed before the servers do it. */
+    void tune(long connectTimeoutUs, long idleUs) {
+        dialer.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutUs / 1_000));
+        connIdleUs = idleUs;
     }
 
     /** A server, at the address that discovery last gave. */
--- /dev/null
+++ b/src/main/java/kitemux/node/Tuning.java
@@ -0,0 +1,102 @@
+package kitemux.node;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import kitemux.Balancer.RequestClass;
+import kitemux.Balancer.Settings;
+import kitemux.Balancer.Tenant;
+
+/**
+ * Settings as the module has them, and the names by which clients ask for what is in them. Open requests know
+ * their class by its place, so each keeps its place for good, and one that comes with other rules gets a new
+ * one. What is no longer in the file is worth nothing.
+ *
+ * @param settings with every class and tenant that there has been
+ * @param known these classes as they were read
+ * @param current the place of each class that is in the file
+ * @param asked the places that clients may mean by each name: the current one first, then those which were
+ *     current until lately, as requests by the rules before are still under way and clients repeat theirs
+ * @param tenants places by name
+ */
+record Tuning(Settings settings, List<RequestClass> known, Map<String, Integer> current,
+        Map<String, Set<Integer>> asked, Map<String, Integer> tenants) {
+
+    static Tuning first(Settings settings) {
+        return new Tuning(new Settings(), List.of(), Map.of(), Map.of(), Map.of()).with(settings);
+    }
+
+    /** These settings from now on, but for what only a restart takes: the node's place and reports' form. */
+    Tuning then(Settings read) {
+        read.nodes = settings.nodes;
+        read.me = settings.me;
+        read.myZone = settings.myZone;
+        read.zones.clear();
+        read.zones.addAll(settings.zones);
+        read.reportFields.clear();
+        read.reportFields.addAll(settings.reportFields);
+        read.listOnRequest = settings.listOnRequest;
+        return with(read);
+    }
+
+    private Tuning with(Settings read) {
+        List<RequestClass> all = new ArrayList<>(known);
+        Map<String, Integer> inFile = new HashMap<>();
+        for (RequestClass c : read.classes) {
+            if (!all.contains(c)) {
+                all.add(c);
+            }
+            inFile.put(c.name(), all.indexOf(c));
+        }
+        read.classes.clear();
+        for (RequestClass c : all) {
+            read.classes.add(inFile.containsValue(read.classes.size()) ? c : worthless(c));
+        }
+        Map<String, Set<Integer>> names = alone(inFile);
+        asked.forEach((name, places) ->
+                names.computeIfAbsent(name, n -> new LinkedHashSet<>()).addAll(places));
+        return new Tuning(read, all, inFile, names, allTenants(read.tenants));
+    }
+
+    private static Map<String, Set<Integer>> alone(Map<String, Integer> places) {
+        Map<String, Set<Integer>> names = new HashMap<>();
+        places.forEach((name, place) -> names.put(name, new LinkedHashSet<>(List.of(place))));
+        return names;
+    }
+
+    private static RequestClass worthless(RequestClass c) {
+        return new RequestClass(c.name(), c.aimUs(), c.aimStretch(), c.deadlineUs(), 0, 0, c.repeat(),
+                c.group(), c.windowUs(), c.stream());
+    }
+
+    private Map<String, Integer> allTenants(List<Tenant> read) {
+        List<Tenant> all = new ArrayList<>(settings.tenants);
+        Map<String, Integer> places = new HashMap<>(tenants);
+        for (Tenant tenant : read) {
+            Integer place = places.putIfAbsent(tenant.name(), all.size());
+            if (place == null) {
+                all.add(tenant);
+            } else {
+                all.set(place, tenant);
+            }
+        }
+        read.clear();
+        read.addAll(all);
+        return places;
+    }
+
+    /** How long clients may still ask by rules that are no longer in the file. */
+    long settlesAfterUs() {
+        return asked.values().stream().flatMap(Set::stream).filter(place -> !current.containsValue(place))
+                .mapToLong(place -> known.get(place).deadlineUs()).max().orElse(0);
+    }
+
+    /** The same once nobody can be asking by those. */
+    Tuning settled() {
+        return new Tuning(settings, known, current, alone(current), tenants);
+    }
+}
--- /dev/null
+++ b/src/test/java/kitemux/node/ReloadTest.java
@@ -0,0 +1,168 @@
+package kitemux.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** A configuration file that is replaced while requests are open. */
+class ReloadTest {
+    private static final String CLASS =
+            "{\"name\":\"%s\",\"onTimeUs\":1000000,\"giveUpUs\":%d,\"repeat\":\"%s\",\"importance\":2.0}";
+    private static final String PAGE = CLASS.formatted("page", 5_000_000, "safe");
+    private static final String ORDER = CLASS.formatted("order", 5_000_000, "unsafe");
+
+    @TempDir
+    private Path folder;
+    private Map<String, String> env;
+
+    @BeforeEach
+    void name() {
+        env = Map.of("PROXY_CONFIG", folder.resolve("config.json").toString(),
+                "PROXY_DISCOVERY", "127.0.0.1:9");
+    }
+
+    private static String file(Site site, int attempts, String... classes) {
+        return """
+                {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"7","limits":{"sockets":256},
+                 "settings":{"zones":["here"],"limits":{"attemptsCap":%d,"cancelling":true},
+                  "rules":{"drainGraceUs":1000000},"classes":[%s]}}
+                """.formatted(site.discovery.endpoint(), attempts, String.join(",", classes));
+    }
+
+    private void write(String text) throws Exception {
+        Files.writeString(folder.resolve("config.json"), text);
+    }
+
+    /** A node that runs by the file, with these servers. */
+    private Site start(Site site, String text, FarServer... servers) throws Exception {
+        write(text);
+        site.operated = true;
+        site.settings.classes.clear();
+        site.settings.classes.addAll(NodeConfig.read(env).settings().classes);
+        site.settingKeys = NodeConfig.read(env).settingKeys();
+        return site.start(servers);
+    }
+
+    /** What SIGHUP does, until it is done. */
+    private void reload(Site site, String text) throws Exception {
+        write(text);
+        site.node.reload(env);
+        site.loop.submit(() -> { }).sync();
+    }
+
+    @Test
+    void classesAreAddedAndDroppedAndTheirFiguresWithThem() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
+            start(site, file(site, 4, PAGE, ORDER), server);
+            String note = Http.order("t", "4000m").replace("X-Lane: order", "X-Lane: note");
+            assertEquals(400, site.ask(note).status());
+            // Short deadlines, so that what is dropped is soon out of use.
+            reload(site, file(site, 4, PAGE, CLASS.formatted("order", 200_000, "unsafe")));
+            reload(site, file(site, 4, PAGE, CLASS.formatted("note", 5_000_000, "unsafe")));
+            assertEquals(200, site.ask(note).status());
+            assertEquals(200, site.ask(Http.order("old", "4000m")).status(), "repeats may still come");
+            site.awaitFigure("node_handled{category=\"note\",outcome=\"passed\"} 1");
+            site.awaitFigure("node_handled{category=\"order\",outcome=\"passed\"} 1");
+            site.awaitFigure("node_loads 2");
+            site.awaitFigure("node_load_errors 0");
+        }
+    }
+
+    @Test
+    void aDroppedClassIsRefusedOnceNobodyCanBeRepeatingIt() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
+            start(site, file(site, 4, PAGE, CLASS.formatted("order", 200_000, "unsafe")), server);
+            reload(site, file(site, 4, PAGE));
+            int tries = 0;
+            while (site.ask(Http.order("t" + tries, "150m")).status() != 400) {
+                assertTrue(tries++ < 100_000, "still served");
+            }
+            assertEquals(200, site.ask(Http.page("t")).status());
+        }
+    }
+
+    @Test
+    void anOpenRequestIsNotRepeatedByRulesThatCameLater() throws Exception {
+        CountDownLatch arrived = new CountDownLatch(2);
+        CountDownLatch reset = new CountDownLatch(1);
+        try (FarServer server = new FarServer((request, peer) -> {
+            arrived.countDown();
+            try {
+                reset.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            peer.reset();
+        }); FarServer other = FarServer.serving("other"); Site site = Site.quiet()) {
+            start(site, file(site, 4, PAGE, ORDER), server);
+            Socket page = site.connect();
+            Site.write(page, Http.page("/api/x", "p", "5000m"));
+            Socket order = site.connect();
+            Site.write(order, Http.order("o", "5000m"));
+            arrived.await();
+            // Safe becomes unsafe and the other way round, and no second attempt is allowed any more.
+            reload(site, file(site, 1, CLASS.formatted("page", 5_000_000, "unsafe"),
+                    CLASS.formatted("order", 5_000_000, "safe")));
+            FarServer.Peer watch = FarServer.next(site.discovery.peers);
+            watch.write(Site.chunk(Site.list(2, false, "s1=" + other.endpoint() + "=Ready") + "\n"));
+            site.awaitFigure("node_known_app_servers 2");
+            reset.countDown();
+            assertEquals("other", Http.read(page.getInputStream()).body(), "safe when it was asked");
+            assertEquals(502, Http.read(order.getInputStream()).status(), "unsafe when it was asked");
+            // By now both ways of asking are understood, each by its own rules.
+            for (String asked : new String[] {Http.page("/api/x", "q", "5000m"), Http.order("r", "5000m")}) {
+                assertNotEquals(400, site.ask(asked.replace("page\r", "order\r")).status());
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
+        "(?s).* | `` | PROXY_CONFIG is empty",
+        "(?s)\"classes.* | `` | PROXY_CONFIG is not JSON",
+        "\"giveUpUs\":5000000, | `` | settings.classes.0.giveUpUs is missing",
+        "\"giveUpUs\":5000000 | \"giveUpUs\":0 | settings.classes.0.giveUpUs is not positive and whole: 0",
+        "\"giveUpUs\":5000000 | \"giveUpUs\":-5 | settings.classes.0.giveUpUs is not positive and whole: -5",
+        "\"giveUpUs\":5000000 | \"giveUpUs\":\"soon\" | settings.classes.0.giveUpUs is not a number: soon",
+        "\"giveUpUs\":5000000 | \"giveUpUs\":null | settings.classes.0.giveUpUs is missing",
+        "\"attemptsCap\":4 | \"attemptsCap\":0 | settings.limits.attemptsCap is not positive and whole: 0",
+        "\"attemptsCap\":4 | \"attemptsCap\":1.5 | settings.limits.attemptsCap is not positive and whole: 1.5",
+        "\"attemptsCap\":4, | `` | settings.limits.attemptsCap is missing",
+        "\"attemptsCap\":4 | \"attemptsCap\":true | settings.limits.attemptsCap is not a number: true",
+        "\"rules\":[^}]*} | \"rules\":{} | settings.rules.drainGraceUs is missing",
+        ",\"importance\":2.0 | `` | settings.classes[].importance is missing",
+        "\"classes\":.* | \"classes\":[]}} | settings: classes is empty",
+        "\"name\":\"order\" | \"name\":\"page\" | settings.classes has two of the name page",
+        "\"discovery\":\"[^\"]*\", | `` | discovery is not address:port",
+        "\"discovery\":\"[^\"]*\" | \"discovery\":\"nowhere\" | discovery is not address:port: nowhere",
+        "\"settings\" | \"sittings\" | settings is missing",
+    })
+    void aBrokenFileChangesNothingAndIsCounted(String good, String bad, String reason) throws Exception {
+        try (FarServer server = FarServer.serving("x"); FarServer moved = FarServer.serving("");
+                Site site = Site.quiet()) {
+            String before = file(site, 4, PAGE, ORDER);
+            start(site, before, server);
+            NodeConfig running = site.config(Site.list(1, true));
+            reload(site, before.replace(site.discovery.endpoint(), moved.endpoint()).replaceFirst(good, bad));
+            ConfigException e = assertThrows(ConfigException.class, () -> running.again(env));
+            assertTrue(e.getMessage().startsWith(reason), e.getMessage());
+            site.awaitFigure("node_load_errors 1");
+            site.awaitFigure("node_loads 0");
+            assertEquals(200, site.ask(Http.page("t")).status());
+            assertEquals(0, moved.connections.get(), "discovery is where it was");
+        }
+    }
+}
