Let large bodies and answers flow from one side to the other, each held back by the other

Now Upload and Flow carry what is larger; up to 64 KiB is gathered as before. Framing that can be read in two ways is refused, answers that end with their connection are taken where they say so, and a peer that has shown a proper head may take its time with the body.

--- a/src/main/java/kitemux/node/ClientRequest.java
+++ b/src/main/java/kitemux/node/ClientRequest.java
@@ -5,16 +5,26 @@
 /**
  * A client's request as it came.
  *
- * @param method passed on unchanged, like path, id, idempotency key and body
- * @param uri path and query
- * @param txn the client's id for it
- * @param idempotencyKey or null
- * @param classIndex its class by the settings
- * @param tenant by the settings, or -1
- * @param leftUs how long the client waits from now on
- * @param workUs a guess at the work, or 0
- * @param retry whether the client marks it as a repeat
- * @param key what it is about, or null
+ * @param head all but its body
+ * @param body passed on unchanged; empty where the body flows
+ * @param upload the body where it is too large to be gathered, else null
  */
-record ClientRequest(HttpMethod method, String uri, String txn, String idempotencyKey, byte[] body,
-        int classIndex, int tenant, long leftUs, long workUs, boolean retry, String key) { }
+record ClientRequest(Head head, byte[] body, Upload upload) {
+    /**
+     * What stands before the body.
+     *
+     * @param method passed on unchanged, like path, id and idempotency key
+     * @param uri path and query
+     * @param txn the client's id for it
+     * @param idempotencyKey or null
+     * @param classIndex its class by the settings
+     * @param tenant by the settings, or -1
+     * @param leftUs how long the client waits once it has sent all
+     * @param workUs a guess at the work, or 0
+     * @param retry whether the client marks it as a repeat
+     * @param key what it is about, or null
+     * @param knowsChunks whether its answer may come in chunks
+     */
+    record Head(HttpMethod method, String uri, String txn, String idempotencyKey, int classIndex, int tenant,
+            long leftUs, long workUs, boolean retry, String key, boolean knowsChunks) { }
+}
--- a/src/main/java/kitemux/node/ClientServer.java
+++ b/src/main/java/kitemux/node/ClientServer.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -21,18 +23,22 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 
 /** The side that clients see: connections, what they ask, and the answers they get. */
 final class ClientServer {
@@ -41,8 +47,8 @@
         /** A whole request that can be read; it is owed one {@link Client#answer}. */
         void asked(Client client, ClientRequest request);
 
-        /** The client has closed before it had its answer. */
-        void left(Client client);
+        /** The client has closed before it had its answer, or lost the right to one. */
+        void left(Node.Held request);
     }
 
     private static final byte[] NO_BODY = {};
@@ -50,13 +56,18 @@
     private static final long ARRIVING_MS = 500;
     /** A client that has asked nothing for so long makes room for others. */
     private static final long MOST_IDLE_NANOS = TimeUnit.SECONDS.toNanos(120);
-    /** Whoever connects and asks nothing whole is owed an end within 3 s; the rest is for the sweep. */
-    private static final long MOST_UNPROVEN_NANOS = TimeUnit.SECONDS.toNanos(2);
-    /** Whoever has begun a request and does not end it holds a socket and memory for nothing. */
+    /** Whoever connects and asks nothing is owed an end within 3 s, but a head may take 2 s. */
+    private static final long MOST_UNPROVEN_NANOS = TimeUnit.MILLISECONDS.toNanos(2_300);
+    /** From then on a first request must come on: no longer pauses, and half the rate of the slowest. */
+    private static final long MOST_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+    private static final double LEAST_BYTES_PER_NANO = 32e3 / 1e9;
+    /** Whoever has begun a request and sends no more of it holds a socket and memory for nothing. */
     private static final long MOST_READING_NANOS = TimeUnit.SECONDS.toNanos(10);
+    /** So does whoever takes nothing more of an answer, and a connection to a server with it. */
+    private static final long MOST_STALL_NANOS = TimeUnit.SECONDS.toNanos(20);
 
     /** How long the rest of what was turned down may take to come. */
-    private static final long LINGER_MS = 1_000;
+    private static final long LINGER_MS = 2_000;
 
     private final EventLoopGroup loop;
     private RequestReader reader;
@@ -87,6 +98,9 @@
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .childOption(ChannelOption.ALLOCATOR, Node.ALLOCATOR)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.SO_SNDBUF, Flow.SYSTEM_BUFFER)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Flow.WATER_MARK)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, Flow.parts())
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
@@ -114,7 +128,7 @@
         }
         Client client = new Client(channel);
         clients.add(client);
-        channel.pipeline().addLast(new HttpServerCodec(), new Aggregator(client), client);
+        channel.pipeline().addLast(new StrictServerCodec(), client);
     }
 
     private boolean closeOldestIdle() {
@@ -131,8 +145,7 @@
     void closeOld() {
         long now = System.nanoTime();
         for (Client client : new ArrayList<>(clients)) {
-            long since = now - client.activeAtNanos;
-            if (client.held == null && since > client.mostSilenceNanos()) {
+            if (client.isOverdue(now)) {
                 client.channel.close();
             }
         }
@@ -186,41 +199,37 @@
         }
     }
 
-    /** Gathers the parts of a request; one with too large a body is answered and its connection closed. */
-    private static final class Aggregator extends HttpObjectAggregator {
-        private final Client client;
-
-        Aggregator(Client client) {
-            super(Node.MOST_BODY);
-            this.client = client;
-        }
-
-        @Override
-        public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
-            client.reads();
-            super.channelRead(context, message);
-        }
-
-        @Override
-        protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
-            client.reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-        }
-    }
-
     /** A client's connection: one request at a time, further ones wait their turn. */
-    final class Client extends SimpleChannelInboundHandler<FullHttpRequest> {
+    final class Client extends SimpleChannelInboundHandler<HttpObject> implements Flow {
         private final SocketChannel channel;
-        private final ArrayDeque<FullHttpRequest> waiting = new ArrayDeque<>();
-        private boolean busy;
-        private boolean keepAlive = true;
-        private boolean reading;
+        /** What was sent ahead of the answer that is due. */
+        private final ArrayDeque<HttpObject> waiting = new ArrayDeque<>();
+        private final long connectedAtNanos = System.nanoTime();
+        private long activeAtNanos = connectedAtNanos;
         /** Whether it has asked a request that could be read: it is a client, not just any peer. */
         private boolean proven;
+        private boolean keepAlive = true;
+
+        /** From a request's first part until its answer is written. */
+        private boolean busy;
+        /** Whether it has come to its end, or nobody wants the rest. */
+        private boolean whole = true;
+        private ClientRequest.Head head;
+        /** The answer to what is no request that can be taken, once it has come to its end. */
+        private Verdict verdict;
+        private ByteBuf gathered;
+        private long length;
+        private long came;
+        private Upload upload;
+        private boolean heldBack;
         private long lingerMs;
-        private long activeAtNanos = System.nanoTime();
         /** The request that is open, as the handler knows it. */
         Node.Held held;
 
+        /** A server's answer that flows to the client, and since when the client takes no more of it. */
+        private Flow answering;
+        private long stalledSinceNanos;
+
         Client(SocketChannel channel) {
             this.channel = channel;
         }
@@ -229,59 +238,145 @@
             return !busy;
         }
 
-        private void reads() {
-            if (!reading) {
-                reading = true;
-                activeAtNanos = proven ? System.nanoTime() : activeAtNanos;
+        /** Whether it has been waited for too long: for a request, for the rest of one, or to read. */
+        private boolean isOverdue(long now) {
+            if (answering != null) {
+                return stalledSinceNanos != 0 && now - stalledSinceNanos > MOST_STALL_NANOS;
+            }
+            if (held != null && upload == null || heldBack) {
+                return false;
+            }
+            long silence = now - activeAtNanos;
+            if (proven) {
+                return silence > (busy && !whole ? MOST_READING_NANOS : MOST_IDLE_NANOS);
             }
+            long since = now - connectedAtNanos;
+            return since > MOST_UNPROVEN_NANOS && (silence > MOST_PAUSE_NANOS || head == null
+                    || came + MOST_PART < LEAST_BYTES_PER_NANO * (since - MOST_UNPROVEN_NANOS));
         }
 
-        private long mostSilenceNanos() {
-            return !proven ? MOST_UNPROVEN_NANOS : reading ? MOST_READING_NANOS : MOST_IDLE_NANOS;
-        }
+        // ------------------------------------------------------------ what it asks
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest message) {
-            reading = false;
-            if (!keepAlive) {
+        protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
+            if (!keepAlive && whole) {
+                // Behind the last request, or what is left of one that has its answer.
                 return;
             }
-            if (busy) {
+            if (busy && whole) {
                 // Sent ahead of the answer: read on only once it is its turn, so that what waits is bounded.
-                waiting.add(message.retain());
+                waiting.add(ReferenceCountUtil.retain(part));
                 channel.config().setAutoRead(false);
                 return;
             }
-            serve(message);
+            take(part);
         }
 
-        private void serve(FullHttpRequest message) {
-            busy = true;
-            keepAlive = HttpUtil.isKeepAlive(message);
-            clients.remove(this);
-            clients.add(this);
-            if (message.decoderResult().isFailure()) {
+        private void take(HttpObject part) {
+            activeAtNanos = proven || head != null ? System.nanoTime() : activeAtNanos;
+            if (part.decoderResult().isFailure()) {
                 reject(HttpResponseStatus.BAD_REQUEST);
                 return;
             }
+            if (part instanceof HttpRequest request) {
+                begin(request);
+            }
+            if (part instanceof HttpContent content && !whole) {
+                add(content);
+            }
+        }
+
+        private void begin(HttpRequest request) {
+            busy = true;
+            whole = false;
+            keepAlive = HttpUtil.isKeepAlive(request);
+            clients.remove(this);
+            clients.add(this);
+            came = 0;
+            length = HttpUtil.getContentLength(request, -1L);
             try {
-                String path = RequestReader.path(message.uri());
+                String path = RequestReader.path(request.uri());
                 if (path.equals("/up")) {
-                    boolean ends = draining && !shared;
-                    answer(ends ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK, NO_BODY, 0);
+                    verdict = new Verdict(draining && !shared ? HttpResponseStatus.SERVICE_UNAVAILABLE
+                            : HttpResponseStatus.OK, NO_BODY);
                 } else if (RequestReader.isRequestPath(path)) {
-                    ClientRequest request = reader.read(message);
-                    proven = true;
-                    handler.asked(this, request);
+                    head = reader.read(request);
                 } else {
-                    answer(HttpResponseStatus.NOT_FOUND, NO_BODY, 0);
+                    verdict = new Verdict(HttpResponseStatus.NOT_FOUND, NO_BODY);
                 }
             } catch (BadRequestException e) {
-                answer(HttpResponseStatus.BAD_REQUEST,
-                        (e.getMessage() + "\n").getBytes(StandardCharsets.UTF_8), 0);
+                boolean bodiless = request.method().equals(HttpMethod.HEAD);
+                verdict = new Verdict(HttpResponseStatus.BAD_REQUEST, bodiless ? NO_BODY
+                        : (e.getMessage() + "\n").getBytes(StandardCharsets.UTF_8));
+            }
+            if (!StrictServerCodec.isPlain(request)) {
+                reject(HttpResponseStatus.BAD_REQUEST);
+            } else if (length > (head == null ? MOST_GATHERED : Node.MOST_BODY)) {
+                reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            } else if (request.headers().contains(HttpHeaderNames.EXPECT)) {
+                meet(request);
+            }
+        }
+
+        private void meet(HttpRequest expecting) {
+            if (!HttpUtil.is100ContinueExpected(expecting)) {
+                reject(HttpResponseStatus.EXPECTATION_FAILED);
+            } else if (head != null) {
+                channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+            }
+        }
+
+        private void add(HttpContent content) {
+            came += content.content().readableBytes();
+            if (came > (head == null ? MOST_GATHERED : Node.MOST_BODY)) {
+                reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+                return;
+            }
+            boolean last = content instanceof LastHttpContent;
+            if (upload != null) {
+                upload.add(content.content().retain());
+            } else if (head != null) {
+                gather(content.content());
+            }
+            if (last) {
+                whole = true;
+                goOn();
+                end();
+            } else if (came > MOST_GATHERED && upload == null) {
+                upload = new Upload(this, length, gathered);
+                gathered = null;
+                ask(NO_BODY);
+            }
+        }
+
+        private void gather(ByteBuf bytes) {
+            if (gathered == null) {
+                // Not for what is announced, which may never come.
+                gathered = Node.ALLOCATOR.buffer(bytes.readableBytes());
+            }
+            gathered.writeBytes(bytes);
+        }
+
+        private void end() {
+            if (verdict != null) {
+                answer(verdict.status, verdict.body, 0);
+            } else if (upload != null) {
+                upload.end();
+            } else {
+                byte[] body = gathered == null ? NO_BODY : ByteBufUtil.getBytes(gathered);
+                letGo();
+                ask(body);
+            }
+        }
+
+        private void ask(byte[] body) {
+            proven = true;
+            try {
+                handler.asked(this, new ClientRequest(head, body, upload));
             } catch (RuntimeException e) {
                 // A defect met by one request must not leave it without an answer.
-                Log.error("request " + message.uri(), e);
+                Log.error("request " + head.uri(), e);
                 if (held == null) {
                     answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, NO_BODY, 0);
                 }
@@ -291,35 +386,132 @@
         /** Answers what cannot be read and closes: where the next request would begin is not known. */
         private void reject(HttpResponseStatus status) {
             keepAlive = false;
-            lingerMs = LINGER_MS;
-            if (held == null) {
-                busy = true;
-                answer(status, NO_BODY, 0);
-            } else {
+            if (answering != null) {
                 channel.close();
+                return;
+            }
+            busy = true;
+            whole = false;
+            Node.Held open = held;
+            answer(status, NO_BODY, 0);
+            if (open != null) {
+                handler.left(open);
             }
         }
 
+        @Override
+        public void holdBack() {
+            if (keepAlive || !whole) {
+                heldBack = true;
+                channel.config().setAutoRead(false);
+            }
+        }
+
+        @Override
+        public void goOn() {
+            heldBack = false;
+            activeAtNanos = System.nanoTime();
+            if (waiting.isEmpty()) {
+                channel.config().setAutoRead(true);
+            }
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (upload != null) {
+                upload.flush();
+            }
+        }
+
+        // ------------------------------------------------------------ what it is answered
+
         /** The one answer to the request that is open; {@code retryAfterUs} of 0 gives no advice. */
         void answer(HttpResponseStatus status, byte[] body, long retryAfterUs) {
-            held = null;
-            activeAtNanos = System.nanoTime();
             FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
                     Unpooled.wrappedBuffer(body));
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
             if (retryAfterUs > 0) {
                 response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfterUs / 1e6);
             }
+            held = null;
+            settle(response);
+            channel.writeAndFlush(response).addListener(written -> answered());
+        }
+
+        /** The beginning of a server's answer of this length, or of -1 where it is not known. */
+        void beginAnswer(long answerLength, Flow from) {
+            HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+            if (answerLength >= 0) {
+                response.headers().set(HttpHeaderNames.CONTENT_LENGTH, answerLength);
+            } else if (head.knowsChunks()) {
+                HttpUtil.setTransferEncodingChunked(response, true);
+            } else {
+                keepAlive = false;
+            }
+            settle(response);
+            answering = from;
+            channel.write(response);
+        }
+
+        /** The answer's next part, which is taken over. */
+        void continueAnswer(ByteBuf part) {
+            channel.write(new DefaultHttpContent(part));
+            if (!channel.isWritable() && stalledSinceNanos == 0) {
+                stalledSinceNanos = System.nanoTime();
+                answering.holdBack();
+            }
+        }
+
+        void flushAnswer() {
+            channel.flush();
+        }
+
+        void endAnswer() {
+            held = null;
+            answering = null;
+            stalledSinceNanos = 0;
+            channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(written -> answered());
+        }
+
+        /** The rest will not come; by the connection's end the client can tell. */
+        void breakOffAnswer() {
+            held = null;
+            answering = null;
+            // Where nothing but the end tells that an answer is whole, it must be no orderly one.
+            channel.config().setSoLinger(0);
+            channel.close();
+        }
+
+        /** Its answer has begun: what the client still sends of the request is of no more use. */
+        private void settle(HttpResponse response) {
+            letGo();
+            verdict = null;
+            if (!whole) {
+                // It is still sending: the rest is read and dropped, for a while.
+                keepAlive = false;
+                whole = true;
+                lingerMs = LINGER_MS;
+                goOn();
+            }
+            upload = null;
+            activeAtNanos = System.nanoTime();
             if (!keepAlive || draining) {
                 keepAlive = false;
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
-            channel.writeAndFlush(response).addListener(written -> answered());
+        }
+
+        private void letGo() {
+            if (gathered != null) {
+                gathered.release();
+                gathered = null;
+            }
         }
 
         /** Only once an answer is written is it the next one's turn: a client may ask and never read. */
         private void answered() {
             busy = false;
+            head = null;
             if (!keepAlive) {
                 // What is still coming is read for a while: closing on it would break the answer off.
                 channel.shutdownOutput();
@@ -330,27 +522,41 @@
         }
 
         private void serveNext() {
-            FullHttpRequest next = busy || !keepAlive ? null : waiting.poll();
-            if (next != null) {
+            while (!waiting.isEmpty() && !(busy && whole)) {
+                HttpObject part = waiting.poll();
                 try {
-                    serve(next);
+                    take(part);
                 } finally {
-                    next.release();
+                    ReferenceCountUtil.release(part);
                 }
             }
-            if (waiting.isEmpty()) {
+            if (waiting.isEmpty() && !heldBack) {
                 channel.config().setAutoRead(true);
             }
+            if (upload != null) {
+                upload.flush();
+            }
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            if (answering != null && channel.isWritable() && stalledSinceNanos != 0) {
+                stalledSinceNanos = 0;
+                answering.goOn();
+            }
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             keepAlive = false;
+            whole = true;
+            busy = true;
             clients.remove(this);
-            waiting.forEach(FullHttpRequest::release);
+            letGo();
+            waiting.forEach(ReferenceCountUtil::release);
             waiting.clear();
             if (held != null) {
-                handler.left(this);
+                handler.left(held);
             }
             tellIfEmpty();
         }
@@ -358,10 +564,13 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             // A client that leaves amid its request is no defect of ours either.
-            if (!(cause instanceof IOException) && !(cause instanceof PrematureChannelClosureException)) {
+            if (!(cause instanceof IOException)) {
                 Log.error("connection to a client", cause);
             }
             channel.close();
         }
     }
+
+    /** What a request that cannot be taken is answered. */
+    private record Verdict(HttpResponseStatus status, byte[] body) { }
 }
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -5,12 +5,15 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
@@ -23,6 +26,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 
@@ -41,11 +45,14 @@
 public final class Node implements Balancer.Actions {
     /** Buffers of just the size needed, on the heap: memory is short, and loads are small. */
     static final ByteBufAllocator ALLOCATOR = new UnpooledByteBufAllocator(false, true);
-    static final int MOST_BODY = 64 << 10;
+    /** The largest body that is passed on. */
+    static final int MOST_BODY = 32 << 20;
 
     private static final byte[] NO_BODY = {};
     private static final long PROBE_US = 1_000_000;
     private static final long HOUSEKEEPING_MS = 250;
+    /** A server that neither takes nor gives anything for so long, amid something that flows, is gone. */
+    private static final long MOST_SILENCE_US = 10_000_000;
 
     /** At a planned end the process is killed after the longest deadline, counted so at most, and a while. */
     private static final long MOST_DEADLINE_US = 3_000_000;
@@ -70,8 +77,10 @@
     private final Balancer balancer;
 
     private final Map<Long, Held> held = new HashMap<>();
-    /** How many of these have had no final answer. */
+    /** How many of these have come whole and not had the end of their final answer. */
     private int open;
+    /** Attempts of which something flows that is too large to be gathered. */
+    private final Set<Attempt> flowing = new HashSet<>();
     private long lastId;
     /** What the module is still to be told: nothing is fed back into it from inside one of its events. */
     private final ArrayDeque<Event> events = new ArrayDeque<>();
@@ -89,17 +98,21 @@
         private final ClientRequest request;
         private final ClientServer.Client client;
         private final int maxAttempts;
-        private final long deadlineUs;
+        /** By when it wants its answer; not known until all of it has come. */
+        private long deadlineUs = Long.MAX_VALUE;
         private final List<Attempt> attempts = new ArrayList<>(1);
         private int outstanding;
+        /** The attempt whose message is on a connection, and the one whose answer flows to the client. */
+        private Attempt carried;
+        private Attempt answering;
+        private boolean whole;
         private boolean ended;
 
-        Held(long id, ClientRequest request, ClientServer.Client client, int maxAttempts, long deadlineUs) {
+        Held(long id, ClientRequest request, ClientServer.Client client, int maxAttempts) {
             this.id = id;
             this.request = request;
             this.client = client;
             this.maxAttempts = maxAttempts;
-            this.deadlineUs = deadlineUs;
         }
     }
 
@@ -125,8 +138,7 @@
                     }
 
                     @Override
-                    public void left(ClientServer.Client client) {
-                        Held gone = client.held;
+                    public void left(Held gone) {
                         tell(gone, () -> {
                             end(gone);
                             balancer.onClientGone(clock.nowUs(), gone.id);
@@ -220,6 +232,8 @@
         housekeeping = loop.scheduleAtFixedRate(() -> {
             pool.closeOld();
             clients.closeOld();
+            long nowUs = clock.nowUs();
+            List.copyOf(flowing).stream().filter(a -> a.isStalled(nowUs)).forEach(Attempt::expire);
             heedCordons();
         }, HOUSEKEEPING_MS, HOUSEKEEPING_MS, TimeUnit.MILLISECONDS);
         return clients.listen(config.listen(), inherited)
@@ -367,25 +381,59 @@
     }
 
     private void take(ClientServer.Client client, ClientRequest request) {
-        long now = clock.nowUs();
-        Held taken = new Held(++lastId, request, client, tuning.settings().maxAttempts,
-                Math.min(endsAtUs, now + request.leftUs()));
+        Held taken = new Held(++lastId, request, client, tuning.settings().maxAttempts);
         client.held = taken;
-        open++;
         held.put(taken.id, taken);
-        tell(taken, () -> balancer.onRequest(clock.nowUs(), new Request(taken.id, request.classIndex(),
-                request.tenant(), Math.max(0, taken.deadlineUs - clock.nowUs()), request.workUs(),
-                request.retry(), request.key())));
+        if (request.upload() == null) {
+            cameWhole(taken);
+        } else {
+            request.upload().follow(new Upload.Listener() {
+                @Override
+                public void bound() {
+                    int attempt = taken.carried.number;
+                    tell(taken, () -> balancer.onFirstByte(clock.nowUs(), taken.id, attempt));
+                }
+
+                @Override
+                public void whole() {
+                    cameWhole(taken);
+                }
+            });
+        }
+        ClientRequest.Head head = request.head();
+        long wantedUs = Math.min(endsAtUs, clock.nowUs() + head.leftUs());
+        tell(taken, () -> balancer.onRequest(clock.nowUs(), new Request(taken.id, head.classIndex(),
+                head.tenant(), Math.max(0, wantedUs - clock.nowUs()), head.workUs(), head.retry(),
+                head.key())));
+    }
+
+    /** All of a request has come: its time runs. */
+    private void cameWhole(Held request) {
+        if (request.ended) {
+            return;
+        }
+        request.whole = true;
+        open++;
+        request.deadlineUs = Math.min(endsAtUs, clock.nowUs() + request.request.head().leftUs());
+        request.attempts.stream().filter(attempt -> !attempt.over).forEach(Attempt::cameWhole);
     }
 
     // ---------------------------------------------------------------- attempts
 
-    private final class Attempt implements ServerPool.Exchange {
+    private final class Attempt implements ServerPool.Exchange, Flow {
         private final Held of;
         private final int number;
         private final String serverId;
         private final long sentAtUs = clock.nowUs();
         private final long untilUs;
+        /** From when the server could work on it, and when it began to answer; 0 until then. */
+        private long wholeAtUs = sentAtUs;
+        private long begunAtUs;
+        /** When last something of it went on. */
+        private long movedAtUs = sentAtUs;
+        private long passed;
+        private Flow answer;
+        private boolean heldBack;
         private Future<?> expiry;
         private double[] report;
         private boolean over;
@@ -397,24 +445,40 @@
             this.untilUs = untilUs;
         }
 
+        private long endsUs() {
+            return Math.min(untilUs, of.deadlineUs);
+        }
+
         @Override
         public FullHttpRequest message() {
-            ClientRequest request = of.request;
-            FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(),
-                    request.uri(), Unpooled.wrappedBuffer(request.body()));
+            of.carried = this;
+            ClientRequest.Head head = of.request.head();
+            byte[] body = of.request.body();
+            FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, head.method(),
+                    head.uri(), Unpooled.wrappedBuffer(body));
+            long leftUs = of.whole ? endsUs() - clock.nowUs() : head.leftUs();
             message.headers().set(HttpHeaderNames.HOST, "backend.local")
-                    .set("X-Txn", request.txn())
+                    .set("X-Txn", head.txn())
                     .set("X-Lane", className(of))
-                    .set("X-Remaining", Math.max(1, untilUs - clock.nowUs()) + "u");
-            if (request.idempotencyKey() != null) {
-                message.headers().set("Idempotency-Key", request.idempotencyKey());
+                    .set("X-Remaining", Math.max(1, leftUs) + "u");
+            if (head.idempotencyKey() != null) {
+                message.headers().set("Idempotency-Key", head.idempotencyKey());
             }
-            if (!request.method().equals(HttpMethod.GET)) {
-                message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+            if (upload() != null && upload().length() < 0) {
+                HttpUtil.setTransferEncodingChunked(message, true);
+            } else if (upload() != null) {
+                message.headers().set(HttpHeaderNames.CONTENT_LENGTH, upload().length());
+            } else if (body.length > 0 || !head.method().equals(HttpMethod.GET)) {
+                message.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
             }
             return message;
         }
 
+        @Override
+        public Upload upload() {
+            return of.request.upload();
+        }
+
         @Override
         public void written() {
             counters.tried();
@@ -422,14 +486,83 @@
 
         void begin() {
             of.outstanding++;
-            if (untilUs <= sentAtUs || number >= of.maxAttempts || of.ended) {
+            if (endsUs() <= sentAtUs || number >= of.maxAttempts || of.ended
+                    || upload() != null && !upload().isFree()) {
                 ended(Result.MOOT, NO_BODY);
                 return;
             }
-            expiry = loop.schedule(this::expire, untilUs - sentAtUs, TimeUnit.MICROSECONDS);
+            if (of.whole) {
+                awaitEnd();
+            }
+            if (upload() != null) {
+                flowing.add(this);
+            }
             pool.start(serverId, this);
         }
 
+        private void cameWhole() {
+            wholeAtUs = clock.nowUs();
+            awaitEnd();
+        }
+
+        private void awaitEnd() {
+            expiry = loop.schedule(this::expire, endsUs() - clock.nowUs(), TimeUnit.MICROSECONDS);
+        }
+
+        /** Whether the server has neither taken nor given anything for too long. */
+        private boolean isStalled(long nowUs) {
+            boolean onServer = answer == null ? upload().awaitsServer() && upload().passed() == passed
+                    : !heldBack;
+            passed = answer == null ? upload().passed() : 0;
+            movedAtUs = onServer ? movedAtUs : nowUs;
+            return nowUs - movedAtUs > MOST_SILENCE_US;
+        }
+
+        @Override
+        public void begun(long length, Flow from) {
+            answer = from;
+            begunAtUs = clock.nowUs();
+            flowing.add(this);
+            if (expiry != null) {
+                expiry.cancel(false);
+            }
+            if (!of.ended && of.answering == null) {
+                of.answering = this;
+                of.client.beginAnswer(length, this);
+                tell(of, () -> balancer.onFirstByte(clock.nowUs(), of.id, number));
+            }
+        }
+
+        @Override
+        public void part(ByteBuf part) {
+            movedAtUs = clock.nowUs();
+            if (of.answering == this && !of.ended) {
+                of.client.continueAnswer(part);
+            } else {
+                part.release();
+            }
+        }
+
+        @Override
+        public void partsRead() {
+            if (of.answering == this && !of.ended) {
+                of.client.flushAnswer();
+            }
+        }
+
+        @Override
+        public void holdBack() {
+            heldBack = true;
+            answer.holdBack();
+        }
+
+        @Override
+        public void goOn() {
+            heldBack = false;
+            movedAtUs = clock.nowUs();
+            answer.goOn();
+        }
+
         private void expire() {
             // What never left for want of a connection is known not to have run.
             ended(pool.giveUp(serverId, this) ? Result.TIMEOUT : Result.CONNECT_FAILED, NO_BODY);
@@ -453,24 +586,43 @@
                 return;
             }
             over = true;
+            flowing.remove(this);
             if (expiry != null) {
                 expiry.cancel(false);
             }
-            if (result == Result.OK && !of.ended) {
+            if (of.answering == this && !of.ended) {
+                endAnswer(result);
+            } else if (result == Result.OK && !of.ended && of.answering == null) {
                 answer(of, HttpResponseStatus.OK, body, 0);
             }
+            // Of what flowed it counts how long the server took, not how long the two ends did.
+            long answeredAtUs = begunAtUs == 0 ? clock.nowUs() : begunAtUs;
             tell(of, () -> {
                 of.outstanding--;
                 forgetIfOver(of);
                 balancer.onOutcome(clock.nowUs(), new Outcome(of.id, number, result,
-                        clock.nowUs() - sentAtUs, of.ended, report));
+                        Math.max(0, answeredAtUs - wholeAtUs), of.ended, report));
             });
         }
+
+        /** The answer that flowed to the client has come to its end, or will not. */
+        private void endAnswer(Result result) {
+            if (result == Result.OK) {
+                of.client.endAnswer();
+            } else {
+                of.client.breakOffAnswer();
+            }
+            counters.handled(className(of), result == Result.OK ? Ending.PASSED : Ending.BAD_GATEWAY);
+            end(of);
+        }
     }
 
     private void forgetIfOver(Held request) {
         if (request.ended && request.outstanding == 0) {
             held.remove(request.id);
+            if (request.request.upload() != null) {
+                request.request.upload().release();
+            }
         }
     }
 
@@ -490,12 +642,16 @@
     }
 
     private String className(Held request) {
-        return tuning.known().get(request.request.classIndex()).name();
+        return tuning.known().get(request.request.head().classIndex()).name();
     }
 
     private void end(Held request) {
-        open -= request.ended ? 0 : 1;
+        open -= request.whole && !request.ended ? 1 : 0;
         request.ended = true;
+        if (!request.whole && request.carried != null) {
+            // The rest of what the server was to get will not come.
+            request.carried.cancel();
+        }
     }
 
     // ---------------------------------------------------------------- what the module asks for
@@ -503,7 +659,8 @@
     @Override
     public void send(long requestId, String serverId, long untilUs) {
         Held request = held.get(requestId);
-        long until = untilUs == 0 ? request.deadlineUs : Math.min(untilUs, request.deadlineUs);
+        // Where the body flows, the module does not know yet by when the client wants its answer.
+        long until = untilUs == 0 || request.request.upload() != null ? Long.MAX_VALUE : untilUs;
         Attempt attempt = new Attempt(request, request.attempts.size(), serverId, until);
         request.attempts.add(attempt);
         attempt.begin();
@@ -588,11 +745,31 @@
             return message;
         }
 
+        @Override
+        public Upload upload() {
+            return null;
+        }
+
         @Override
         public void written() {
             // No client's request: it counts for nothing.
         }
 
+        @Override
+        public void begun(long length, Flow from) {
+            // That it answers is all that is asked.
+        }
+
+        @Override
+        public void part(ByteBuf part) {
+            part.release();
+        }
+
+        @Override
+        public void partsRead() {
+            // Nobody to pass them to.
+        }
+
         @Override
         public void reported(String load) {
             report = LoadReport.decode(load, config.settings().reportFields);
--- a/src/main/java/kitemux/node/Rehearsal.java
+++ b/src/main/java/kitemux/node/Rehearsal.java
@@ -93,7 +93,7 @@
             @Override
             protected void initChannel(SocketChannel channel) {
                 ChannelHandler codec = server ? new HttpServerCodec() : new StrictClientCodec();
-                channel.pipeline().addLast(codec, new HttpObjectAggregator(Node.MOST_BODY),
+                channel.pipeline().addLast(codec, new HttpObjectAggregator(Flow.MOST_GATHERED),
                         server ? new FarServer() : new FarClient());
             }
         };
--- a/src/main/java/kitemux/node/RequestReader.java
+++ b/src/main/java/kitemux/node/RequestReader.java
@@ -3,9 +3,9 @@
 import java.util.List;
 import java.util.Set;
 
-import io.netty.buffer.ByteBufUtil;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
 
 import kitemux.Balancer.Repeat;
 
@@ -31,18 +31,18 @@
         return path.startsWith(PREFIX) || path.equals("/api");
     }
 
-    ClientRequest read(FullHttpRequest message) throws BadRequestException {
+    ClientRequest.Head read(HttpRequest message) throws BadRequestException {
         String txn = need(message, "X-Txn");
         String idempotencyKey = one(message, "Idempotency-Key");
         int classIndex = classIndex(need(message, "X-Lane"), message.method(), idempotencyKey != null);
         String tenant = one(message, "X-Org");
         String path = path(message.uri());
         String key = path.substring(path.lastIndexOf('/') + 1);
-        return new ClientRequest(message.method(), message.uri(), txn, idempotencyKey,
-                ByteBufUtil.getBytes(message.content()), classIndex,
+        return new ClientRequest.Head(message.method(), message.uri(), txn, idempotencyKey, classIndex,
                 tenant == null ? -1 : tuning.tenants().getOrDefault(tenant, -1),
                 left(need(message, "X-Remaining")), work(one(message, "X-Estimate")),
-                "1".equals(one(message, "X-Resent")), key.isEmpty() ? null : key);
+                "1".equals(one(message, "X-Resent")), key.isEmpty() ? null : key,
+                message.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0);
     }
 
     /**
@@ -64,7 +64,7 @@
                 : "the class does not go with the method");
     }
 
-    private static String need(FullHttpRequest message, String name) throws BadRequestException {
+    private static String need(HttpRequest message, String name) throws BadRequestException {
         String value = one(message, name);
         if (value == null || value.isEmpty()) {
             throw new BadRequestException(name + " is missing");
@@ -72,7 +72,7 @@
         return value;
     }
 
-    private static String one(FullHttpRequest message, String name) throws BadRequestException {
+    private static String one(HttpRequest message, String name) throws BadRequestException {
         List<String> values = message.headers().getAll(name);
         if (values.size() > 1) {
             throw new BadRequestException(name + " is given twice");
--- a/src/main/java/kitemux/node/StrictClientCodec.java
+++ b/src/main/java/kitemux/node/StrictClientCodec.java
@@ -1,6 +1,7 @@
 package kitemux.node;
 
 import io.netty.channel.CombinedChannelDuplexHandler;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
@@ -15,6 +16,10 @@
     }
 
     private static final class Decoder extends HttpResponseDecoder {
+        Decoder() {
+            super(new HttpDecoderConfig().setMaxChunkSize(Flow.MOST_PART));
+        }
+
         /**
          * In an answer Netty ends a name at a blank too and then takes a line without any colon for a field
          * with no value: a broken head would pass for a whole one.
