Count what flows at the pace of its two ends as no work that a server holds

Cause: a request whose long answer flows stays in flight for seconds, and in-flight counts meet the limits (onOutcome was the only place that took one off). Now onFirstByte takes the attempt out of flight. RetuningTest has the case and fails without the change.

--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -257,7 +257,8 @@
         int outstanding;
         boolean waiting;
         boolean left;
-        boolean streaming;
+        /** The attempt that the request is bound to, or -1. */
+        int bound = -1;
         boolean ended;
 
         Call(Request request, Settings set, long now) {
@@ -391,9 +392,7 @@
         lastServedAt = lastServedAt == 0 ? now : lastServedAt;
         ready = inUse(listed.stream().filter(s -> s.state == ServerState.READY && !cordoned.contains(s.id))
                 .toArray(Server[]::new));
-        for (Server server : before) {
-            server.inUse = false;
-        }
+        Arrays.stream(before).forEach(server -> server.inUse = false);
         for (int i = 0; i < ready.length; i++) {
             ready[i].position = i;
             ready[i].inUse = true;
@@ -407,9 +406,7 @@
                 ready[i].coldSentAt = now - (long) (random.nextDouble() * coldGap(ready[i]));
             }
         }
-        for (Server server : before) {
-            closeIfUnused(server);
-        }
+        Arrays.stream(before).forEach(this::closeIfUnused);
         everywhere = new Pool(ready, set.warmKeys);
         nearby = set.crossZonePrice == 0 ? everywhere : new Pool(
                 Arrays.stream(ready).filter(s -> s.zone == set.myZone).toArray(Server[]::new), false);
@@ -417,6 +414,13 @@
         countReady();
     }
 
+    /** An attempt is no longer in flight. */
+    private void leave(Server server) {
+        server.inFlight--;
+        inFlight -= isCounted(server) ? 1 : 0;
+        closeIfUnused(server);
+    }
+
     /** Connections to a server no longer in use would hold its places for the nodes that do use it. */
     private void closeIfUnused(Server server) {
         if (!server.inUse && server.inFlight == 0) {
@@ -576,9 +580,9 @@
         Result result = outcome.result();
         call.results[attempt] = result;
         call.outstanding--;
-        server.inFlight--;
-        inFlight -= isCounted(server) ? 1 : 0;
-        closeIfUnused(server);
+        if (attempt != call.bound) {
+            leave(server);
+        }
         heed(server, outcome);
         Health ofClass = server.byClass.get(call.request.classIndex());
         if (result == Result.OK) {
@@ -592,11 +596,8 @@
                 failed(server, ofClass, !crowded);
             }
         }
-        if (result == Result.OK || result == Result.ERROR) {
-            ofClass.answeredAt = now;
-        }
-        if (!call.streaming) {
-            // How long a stream takes is for its two ends, and says little of the server.
+        ofClass.answeredAt = result == Result.OK || result == Result.ERROR ? now : ofClass.answeredAt;
+        if (call.bound < 0) {
             adaptLimit(call, attempt, outcome);
         }
         if (outcome.requestEnded()) {
@@ -612,8 +613,10 @@
     public void onFirstByte(long nowUs, long requestId, int attempt) {
         now = nowUs;
         Call call = calls.get(requestId);
-        if (call != null) {
-            call.streaming = true;
+        if (call != null && call.bound < 0 && call.results[attempt] == null) {
+            // What flows at the pace of its two ends is no work that the server holds.
+            leave(call.servers[attempt]);
+            call.bound = attempt;
             cancel(call, attempt);
         }
     }
@@ -903,15 +906,13 @@
 
     /** A failed request goes to the next server in list order, or waits, or has its final answer. */
     private void passOn(Call call, Server failed) {
-        if (!mayTryAgain(call)) {
-            giveUp(call);
-            return;
-        }
-        Server next = nextInTurn(call, failed);
+        Server next = mayTryAgain(call) ? nextInTurn(call, failed) : null;
         if (next != null) {
             send(call, next);
-        } else {
+        } else if (mayTryAgain(call)) {
             defer(call);
+        } else {
+            giveUp(call);
         }
     }
 
@@ -942,7 +943,7 @@
             while (!line.isEmpty()) {
                 Call call = line.peek().call;
                 int attempt = line.peek().attempt;
-                boolean known = call.ended || call.streaming || call.results[attempt] != null;
+                boolean known = call.ended || call.bound >= 0 || call.results[attempt] != null;
                 if (!known && now < call.sentAt[attempt] + silentAfter(c)) {
                     break;
                 }
@@ -1254,7 +1255,7 @@
 
     /** Rule 2: whether any further attempt could be lawful, wherever it goes. */
     private boolean mayTryAgain(Call call) {
-        if (call.attempts >= call.servers.length || now >= call.deadlineAt || call.streaming) {
+        if (call.attempts >= call.servers.length || now >= call.deadlineAt || call.bound >= 0) {
             return false;
         }
         int binding = call.binding();
--- a/src/test/java/kitemux/RetuningTest.java
+++ b/src/test/java/kitemux/RetuningTest.java
@@ -101,4 +101,20 @@
         node.answer(id, Result.RESET, 0);
         assertEquals(2, node.attempts(id));
     }
+
+    @Test
+    void whatFlowsAtThePaceOfItsTwoEndsTakesNoPlaceAtAServer() {
+        Node node = new Node().with(2);
+        for (int i = 0; i < 200; i++) {
+            long id = node.ask(Node.UNSAFE);
+            assertEquals(1, node.attempts(id), "request " + i + " waits");
+            node.advance(1_000);
+            node.balancer.onFirstByte(node.now, id, 0);
+        }
+        assertEquals(List.of(), node.closed);
+        for (long id = 1; id <= 200; id++) {
+            node.answer(id, Result.OK, 1_000);
+        }
+        assertEquals(1, node.attempts(node.ask(Node.UNSAFE)));
+    }
 }
