Read a body to its end although it has its answer, and keep its connection

The answer still goes out at once; what comes behind it is read and dropped up to the largest body, and only framing that cannot be read ends the connection. Faulty lines: Client.settle() and reject().

--- a/src/main/java/kitemux/node/ClientServer.java
+++ b/src/main/java/kitemux/node/ClientServer.java
@@ -214,6 +214,9 @@
         private boolean busy;
         /** Whether it has come to its end, or nobody wants the rest. */
         private boolean whole = true;
+        /** Whether its answer has begun, and whether it is written. */
+        private boolean settled;
+        private boolean written;
         private ClientRequest.Head head;
         /** The answer to what is no request that can be taken, once it has come to its end. */
         private Verdict verdict;
@@ -243,7 +246,7 @@
             if (answering != null) {
                 return stalledSinceNanos != 0 && now - stalledSinceNanos > MOST_STALL_NANOS;
             }
-            if (held != null && upload == null || heldBack) {
+            if (held != null && upload == null || heldBack && !settled) {
                 return false;
             }
             long silence = now - activeAtNanos;
@@ -260,7 +263,6 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
             if (!keepAlive && whole) {
-                // Behind the last request, or what is left of one that has its answer.
                 return;
             }
             if (busy && whole) {
@@ -282,13 +284,30 @@
                 begin(request);
             }
             if (part instanceof HttpContent content && !whole) {
-                add(content);
+                if (settled) {
+                    drop(content);
+                } else {
+                    add(content);
+                }
+            }
+        }
+
+        /** The rest of a request that has its answer: read to its end, as the client may read only then. */
+        private void drop(HttpContent content) {
+            came += content.content().readableBytes();
+            if (came > Node.MOST_BODY) {
+                channel.close();
+            } else if (content instanceof LastHttpContent) {
+                whole = true;
+                next();
             }
         }
 
         private void begin(HttpRequest request) {
             busy = true;
             whole = false;
+            settled = false;
+            written = false;
             keepAlive = HttpUtil.isKeepAlive(request);
             clients.remove(this);
             clients.add(this);
@@ -386,12 +405,14 @@
         /** Answers what cannot be read and closes: where the next request would begin is not known. */
         private void reject(HttpResponseStatus status) {
             keepAlive = false;
-            if (answering != null) {
+            if (busy && settled) {
                 channel.close();
                 return;
             }
             busy = true;
-            whole = false;
+            whole = true;
+            written = false;
+            lingerMs = LINGER_MS;
             Node.Held open = held;
             answer(status, NO_BODY, 0);
             if (open != null) {
@@ -401,7 +422,7 @@
 
         @Override
         public void holdBack() {
-            if (keepAlive || !whole) {
+            if (!settled) {
                 heldBack = true;
                 channel.config().setAutoRead(false);
             }
@@ -486,14 +507,11 @@
         private void settle(HttpResponse response) {
             letGo();
             verdict = null;
-            if (!whole) {
-                // It is still sending: the rest is read and dropped, for a while.
-                keepAlive = false;
-                whole = true;
-                lingerMs = LINGER_MS;
+            settled = true;
+            if (upload != null) {
+                upload = null;
                 goOn();
             }
-            upload = null;
             activeAtNanos = System.nanoTime();
             if (!keepAlive || draining) {
                 keepAlive = false;
@@ -510,6 +528,14 @@
 
         /** Only once an answer is written is it the next one's turn: a client may ask and never read. */
         private void answered() {
+            written = true;
+            next();
+        }
+
+        private void next() {
+            if (!whole || !written) {
+                return;
+            }
             busy = false;
             head = null;
             if (!keepAlive) {
