Take a server back from a cordon as warm as the list says it is

Cause: onCordoned() counted them as started at the call back, although the list had told of their start 3 s before, so slow start held them for the longest time there is. Ruled out: their limit (in flight stayed under it) and the keys (they were drawn, and barred by the gap). CordonTest has the case and fails without the change.

--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -134,7 +134,7 @@
     private final Set<Server> listed = new LinkedHashSet<>();
     /** The servers in use: all that are ready, or this node's part of them in a large fleet. */
     private Server[] ready = new Server[0];
-    private Set<String> cordoned = Set.of();
+    private Map<String, Long> cordons = Map.of();
     private double sharers;
     private int nearSize;
     private Pool everywhere = new Pool(ready, false);
@@ -373,24 +373,26 @@
     @Override
     public void onCordoned(long nowUs, Set<String> serverIds) {
         now = nowUs;
-        // It has most likely been restarted meanwhile, of which the list may tell late.
-        listed.stream().filter(server -> cordoned.contains(server.id) && !serverIds.contains(server.id))
-                .forEach(server -> startCold(server, Math.max(server.startedAt, now)));
-        cordoned = Set.copyOf(serverIds);
+        Map<String, Long> since = new HashMap<>();
+        serverIds.forEach(id -> since.put(id, cordons.getOrDefault(id, now)));
+        // What is back has most likely been restarted meanwhile: now, unless the list has told when.
+        listed.stream().filter(s -> !since.containsKey(s.id) && s.startedAt < cordons.getOrDefault(s.id, 0L))
+                .forEach(server -> startCold(server, now));
+        cordons = since;
         chooseServers();
         carryOn();
     }
 
     @Override
     public int skipped() {
-        return ejected.size() + (int) listed.stream().filter(s -> cordoned.contains(s.id)).count();
+        return ejected.size() + (int) listed.stream().filter(s -> cordons.containsKey(s.id)).count();
     }
 
     private void chooseServers() {
         Server[] before = ready;
         // Gaps are counted from the first list on, not from the start of the clock.
         lastServedAt = lastServedAt == 0 ? now : lastServedAt;
-        ready = inUse(listed.stream().filter(s -> s.state == ServerState.READY && !cordoned.contains(s.id))
+        ready = inUse(listed.stream().filter(s -> s.state == ServerState.READY && !cordons.containsKey(s.id))
                 .toArray(Server[]::new));
         Arrays.stream(before).forEach(server -> server.inUse = false);
         for (int i = 0; i < ready.length; i++) {
@@ -996,9 +998,6 @@
 
     /** Sends what waits as far as servers allow and ends what has run out of time. */
     private void serveWaiting(int keysToTry) {
-        if (waiting.isEmpty()) {
-            return;
-        }
         int kept = 0;
         boolean full = false;
         boolean fullForUnsafe = false;
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -269,6 +269,7 @@
         @Override
         public void cordon(String serverId, boolean out) throws ControlServer.RefusedException {
             cordons.change(serverId, out);
+            Log.line((out ? "cordoned server " : "uncordoned server ") + serverId);
             Node.this.cordon();
         }
     }
--- a/src/test/java/kitemux/CordonTest.java
+++ b/src/test/java/kitemux/CordonTest.java
@@ -86,6 +86,24 @@
         assertTrue(since >= 1 && since <= 100, "sent since: " + since);
     }
 
+    @Test
+    void aServerThatTheListSaysHasStartedMeanwhileIsAsWarmAsItSays() {
+        Node node = new Node().with(4);
+        for (int i = 0; i < 400; i++) {
+            node.serve(Node.SAFE, Result.OK, 10_000);
+        }
+        cordon(node, "s1");
+        node.list(ListKind.CHANGES, List.of(new ServerEntry("s1", 0, 0, ServerState.READY, 1, node.now)));
+        node.advance(node.settings.coldUs);
+        cordon(node);
+        long before = node.sentTo("s1");
+        for (int i = 0; i < 400; i++) {
+            node.serve(Node.SAFE, Result.OK, 10_000);
+        }
+        // Warm by now: it gets about a quarter.
+        assertTrue(node.sentTo("s1") - before > 70, "sent since: " + (node.sentTo("s1") - before));
+    }
+
     @Test
     void whatWaitsForWantOfAServerIsSentOnceOneIsBack() {
         Node node = new Node().with(1);
