Bound what a node holds open to the connections its clients have, where processes share them

Cause: what waits in a jam holds a connection each, in both processes. Ruled out by a probe of accepts: the old process accepts none once it drains, and the node closes none itself. Now the module gives up what is worth least beyond maxOpen, which the node sets to a sixth of the descriptors where it inherits its socket, and nowhere else.

--- a/src/main/java/kitemux/Balancer.java
+++ b/src/main/java/kitemux/Balancer.java
@@ -230,6 +230,8 @@
         public boolean worthByWork;
         /** Most attempts for a request. */
         public int maxAttempts = 3;
+        /** Most requests to hold open: clients have no connection left for more. */
+        public int maxOpen = Integer.MAX_VALUE;
         /** Whether a request may have two attempts out at once. */
         public boolean secondCopies;
         /** Whether attempts may be cancelled. */
@@ -272,6 +274,7 @@
             require(nodes >= 1, "nodes is under 1");
             require(me >= 0 && me < nodes, "me is not among nodes");
             require(maxAttempts >= 1, "maxAttempts is under 1");
+            require(maxOpen >= 1, "maxOpen is under 1");
             require(myZone >= 0 && myZone < Math.max(1, zones.size()), "myZone is not among zones");
             require(tickUs >= 0 && coldUs >= 0 && fallUs >= 0 && drainGraceUs >= 0 && connectTimeoutUs >= 0
                     && askWithinUs >= 0 && maxRetryAfterUs >= 0, "a length of time is negative");
--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -553,16 +553,14 @@
         Call call = new Call(request, set, now);
         calls.put(request.id(), call);
         call.value = value(call);
-        if (sparse && random.nextDouble() >= admitted(call)) {
-            giveUp(call);
-            scheduleWake();
-            return;
-        }
+        boolean turnedDown = sparse && random.nextDouble() >= admitted(call);
         // Nobody waits for the same server, or those who do are tried with each answer.
-        boolean first = waiting.isEmpty() || call.keySeed != 0;
+        boolean first = !turnedDown && (waiting.isEmpty() || call.keySeed != 0);
         Server server = first && now < call.deadlineAt ? drawForFirstTry(call) : null;
         if (server != null) {
             send(call, server);
+        } else if (turnedDown) {
+            giveUp(call);
         } else {
             defer(call);
             serveWaiting(KEYS_TRIED);
@@ -994,6 +992,11 @@
             at--;
         }
         waiting.add(at, call);
+        // Clients would soon find no connection to ask on: what is worth least makes room.
+        Call least = waiting.get(waiting.size() - 1);
+        if (least.waiting && waiting.size() + inFlight > set.maxOpen) {
+            giveUp(least);
+        }
     }
 
     /** Sends what waits as far as servers allow and ends what has run out of time. */
@@ -1012,7 +1015,6 @@
                     TOO_LATE_AT * usual.get(call.request.classIndex()).latencyUs);
             if (call.deadlineAt - now <= sweepUs + set.tickUs || late && call.cls.lateWorth() == 0
                     || !mayTryAgain(call)) {
-                call.waiting = false;
                 giveUp(call);
                 continue;
             }
@@ -1192,9 +1194,8 @@
             server.held = outcome.report()[heldField];
             server.heldAt = now;
             server.heldForUs = Math.max(1, outcome.latencyUs());
-            if (outcome.result() == Result.OK) {
-                heldCostUs += MEAN_GAIN * (outcome.latencyUs() / (server.held + 1) - heldCostUs);
-            }
+            heldCostUs += outcome.result() != Result.OK ? 0
+                    : MEAN_GAIN * (outcome.latencyUs() / (server.held + 1) - heldCostUs);
         }
     }
 
--- a/src/main/java/kitemux/node/NodeConfig.java
+++ b/src/main/java/kitemux/node/NodeConfig.java
@@ -61,6 +61,8 @@
     }
 
     private static final int LEAST_SOCKETS = 64;
+    /** Clients hold a third of the descriptors at most, over two processes of which one follows the other. */
+    private static final int CLIENT_SHARE = 3 * 2;
     private static final long DEFAULT_CONN_IDLE_US = 15_000_000;
 
     /** The environment's addresses hold where they are set; all else is in the file that it names. */
@@ -80,11 +82,15 @@
         if (idle <= 0) {
             throw new ConfigException("settings.limits.connIdleUs", "is not above 0");
         }
+        Operators operators = Operators.read(env, json);
+        if (operators.inherits()) {
+            settings.maxOpen = sockets.asInt() / CLIENT_SHARE;
+        }
         String listen = env.getOrDefault("PROXY_LISTEN", json.path("listen").asText());
         String discovery = env.getOrDefault("PROXY_DISCOVERY", json.path("discovery").asText());
         return new NodeConfig(address("listen", listen), address("discovery", discovery),
                 seed(json.path("seed").asText()), sockets.asInt(), idle, known(json, settings.zones),
-                settings, keys(json.get("settings"), ""), Operators.read(env, json));
+                settings, keys(json.get("settings"), ""), operators);
     }
 
     /**
--- a/src/test/java/kitemux/node/NodeConfigTest.java
+++ b/src/test/java/kitemux/node/NodeConfigTest.java
@@ -82,6 +82,27 @@
         assertEquals(82, config.discovery().getPort());
     }
 
+    @Test
+    void whatIsForOperatorsIsThereOnlyWhereItIsSet() throws Exception {
+        NodeConfig plain = read(CONFIG, Map.of("TMPDIR", ""));
+        assertEquals(NodeConfig.Operators.NONE, plain.operators());
+        assertEquals(Integer.MAX_VALUE, plain.settings().maxOpen);
+        NodeConfig file = read(CONFIG.replace("\"seed\"", "\"control\":\"127.0.0.3:9\",\"seed\""), Map.of());
+        assertEquals(9, file.operators().control().getPort());
+        NodeConfig operated = read(CONFIG, Map.of("TMPDIR", folder.toString(),
+                "PROXY_CONTROL", "127.0.0.2:9800", "PROXY_SOCKET_FD", "0"));
+        assertEquals(9800, operated.operators().control().getPort());
+        assertEquals(folder, operated.operators().folder());
+        assertTrue(operated.operators().inherits());
+        assertEquals(170, operated.settings().maxOpen, "a sixth of 1,024");
+        for (Map<String, String> bad : List.of(Map.of("PROXY_CONTROL", "9800"),
+                Map.of("PROXY_SOCKET_FD", "3"))) {
+            ConfigException e = assertThrows(ConfigException.class, () -> read(CONFIG, bad));
+            String value = bad.values().iterator().next();
+            assertTrue(e.getMessage().endsWith(": " + value), e.getMessage());
+        }
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
         "127.0.0.1:8000 | nowhere | listen",
