--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -187,7 +187,8 @@
         if (rehearsed < Rehearsal.REQUESTS) {
             Log.line("rehearsal cut short after " + rehearsed + " of " + Rehearsal.REQUESTS + " requests");
         }
-        awaitListening("listen " + config.listen(), node.start(inherited));
+        ChannelFuture listening = node.start(inherited);
+        awaitListening("listen " + config.listen(), listening);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             CountDownLatch empty = new CountDownLatch(1);
             node.drain(empty::countDown);
@@ -197,7 +198,7 @@
                 Thread.currentThread().interrupt();
             }
         }, "drain"));
-        Log.line("listening on " + config.listen());
+        Log.line("listening on " + listening.channel().localAddress());
     }
 
     private static void awaitListening(String where, ChannelFuture listening) {
