Pass answers of unknown length on once they take long, as their first bytes are timed

Cause: ServerPool gathered up to 64 KiB of an answer that tells no length, however slowly it came. Ruled out: answers that tell their length, which flow from the first part on, and the client's side, which was writable. After 50 ms such an answer now flows. LargeBodyTest has the case. A peer that has begun a large body proves itself only with its end.

--- a/src/main/java/kitemux/node/ClientServer.java
+++ b/src/main/java/kitemux/node/ClientServer.java
@@ -254,8 +254,10 @@
                 return silence > (busy && !whole ? MOST_READING_NANOS : MOST_IDLE_NANOS);
             }
             long since = now - connectedAtNanos;
-            return since > MOST_UNPROVEN_NANOS && (silence > MOST_PAUSE_NANOS || head == null
-                    || came + MOST_PART < LEAST_BYTES_PER_NANO * (since - MOST_UNPROVEN_NANOS));
+            // What flows is no slower than the server that takes it.
+            boolean slow = upload == null
+                    && came + MOST_PART < LEAST_BYTES_PER_NANO * (since - MOST_UNPROVEN_NANOS);
+            return since > MOST_UNPROVEN_NANOS && (silence > MOST_PAUSE_NANOS || head == null || slow);
         }
 
         // ------------------------------------------------------------ what it asks
@@ -381,6 +383,7 @@
             if (verdict != null) {
                 answer(verdict.status, verdict.body, 0);
             } else if (upload != null) {
+                proven = true;
                 upload.end();
             } else {
                 byte[] body = gathered == null ? NO_BODY : ByteBufUtil.getBytes(gathered);
@@ -390,7 +393,7 @@
         }
 
         private void ask(byte[] body) {
-            proven = true;
+            proven |= whole;
             try {
                 handler.asked(this, new ClientRequest(head, body, upload));
             } catch (RuntimeException e) {
--- a/src/main/java/kitemux/node/ServerPool.java
+++ b/src/main/java/kitemux/node/ServerPool.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -31,6 +32,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 
 import kitemux.Balancer.Result;
 import kitemux.Balancer.ServerState;
@@ -65,6 +67,11 @@
     }
 
     private static final byte[] NO_BODY = {};
+    /**
+     * An answer that tells no length and takes longer is most likely a large one, whose first bytes count:
+     * long against what a server takes to write what it has ready, short against any aim.
+     */
+    private static final long MOST_GATHERING_MS = 50;
 
     private final Bootstrap dialer;
     private final EventLoop loop;
@@ -297,8 +304,9 @@
         private boolean written;
         private long idleSinceUs;
         private HttpResponse head;
-        /** What has come of an answer that is gathered. */
+        /** What has come of an answer that is gathered, and the end of its time where it tells no length. */
         private ByteBuf body;
+        private Future<?> gathering;
         private boolean flows;
         /** It ends before its time: an end of the answer that comes with that is none. */
         private boolean broken;
@@ -453,7 +461,15 @@
             }
         }
 
+        private void stopGathering() {
+            if (gathering != null) {
+                gathering.cancel(false);
+                gathering = null;
+            }
+        }
+
         private void dropBody() {
+            stopGathering();
             if (body != null) {
                 body.release();
                 body = null;
@@ -470,19 +486,29 @@
                 return;
             }
             if (!flows && Math.max(length(), body.readableBytes() + part.readableBytes()) > MOST_GATHERED) {
-                flows = true;
-                report();
-                exchange.begun(length(), this);
-                exchange.part(body);
-                body = null;
+                flow();
             }
             if (flows) {
                 exchange.part(part.retain());
             } else {
                 body.writeBytes(part);
+                if (length() < 0 && gathering == null) {
+                    gathering = loop.schedule(this::flow, MOST_GATHERING_MS, TimeUnit.MILLISECONDS);
+                }
             }
         }
 
+        /** What has come goes to the client now, and the rest as it comes. */
+        private void flow() {
+            stopGathering();
+            flows = true;
+            report();
+            exchange.begun(length(), this);
+            exchange.part(body);
+            body = null;
+            exchange.partsRead();
+        }
+
         private void report() {
             String load = head.headers().get(LoadReport.HEADER);
             if (load != null) {
--- a/src/test/java/kitemux/node/LargeBodyTest.java
+++ b/src/test/java/kitemux/node/LargeBodyTest.java
@@ -241,6 +241,28 @@
         }
     }
 
+    @Test
+    void anAnswerOfUnknownLengthThatTakesLongIsPassedOnAsItComes() throws Exception {
+        CountDownLatch seen = new CountDownLatch(1);
+        try (FarServer server = new FarServer((request, peer) -> {
+            peer.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Site.chunk("first"));
+            try {
+                assertTrue(seen.await(20, TimeUnit.SECONDS));
+            } catch (InterruptedException e) {
+                throw new IOException(e);
+            }
+            peer.write(Site.chunk("last") + "0\r\n\r\n");
+        }); Site site = Site.quiet().start(server)) {
+            Socket client = site.connect();
+            Site.write(client, Http.page("/api/x", "t", "5000m"));
+            Http.Message head = Http.readHead(client.getInputStream());
+            seen.countDown();
+            assertEquals("firstlast", new String(Http.readBody(client.getInputStream(), head),
+                    StandardCharsets.UTF_8));
+            assertEquals(200, Site.ask(client, Http.page("/api/x", "u", "5000m")).status(), "and goes on");
+        }
+    }
+
     @Test
     void aLargeBodyGoesToAnotherServerOnlyFromItsStart() throws Exception {
         String body = text(LARGE);
