Send what is safe to repeat to failing servers that answer, where all others are full

What is left is capacity that nobody uses: a server that fails quickly serves the rest. Whether a server still answers tells it from a lost one. HealthTest has both cases.

--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Supplier;
@@ -180,6 +181,8 @@
         long restUs;
         long wantedAt;
         boolean inUse;
+        /** Whether its last attempt had any answer. */
+        boolean answers;
         /** What all its answers say, and those of each class: it may fail one class and serve the others. */
         final Health overall = new Health();
         final List<Health> byClass = new ArrayList<>();
@@ -476,14 +479,8 @@
             rows *= 2;
         }
         Server[] table = table(from, nextPrime(rows * size), size);
-        List<Server> mine = new ArrayList<>();
         int first = set.me % rows * size;
-        for (int j = first; j < first + size; j++) {
-            if (table[j] != null) {
-                mine.add(table[j]);
-            }
-        }
-        return mine;
+        return Arrays.stream(table, first, first + size).filter(Objects::nonNull).toList();
     }
 
     /** The servers take turns in claiming places, each in an order of its own, none twice in a row. */
@@ -491,11 +488,8 @@
         Server[] turns = from.clone();
         Arrays.sort(turns, Comparator.comparingLong(server -> server.hash));
         Server[] table = new Server[places];
-        int[] at = new int[turns.length];
+        int[] at = Arrays.stream(turns).mapToInt(s -> (int) Math.floorMod(s.hash, (long) places)).toArray();
         int[] tries = new int[turns.length];
-        for (int i = 0; i < turns.length; i++) {
-            at[i] = (int) Math.floorMod(turns[i].hash, (long) places);
-        }
         int left = places;
         int idle = 0;
         for (int i = 0; left > 0 && idle < turns.length; i = (i + 1) % turns.length) {
@@ -527,13 +521,12 @@
     @Override
     public void onListFailed(long nowUs) {
         now = nowUs;
-        if (!set.listOnRequest) {
-            return;
+        if (set.listOnRequest) {
+            // Jittered backoff: nodes that failed together must not ask together again.
+            askListAt = now + listBackoffUs / 2 + random.nextLong(listBackoffUs);
+            listBackoffUs = Math.min(2 * listBackoffUs, Math.max(1, set.askWithinUs / 4));
+            scheduleWake();
         }
-        // Jittered backoff: nodes that failed together must not ask together again.
-        askListAt = now + listBackoffUs / 2 + random.nextLong(listBackoffUs);
-        listBackoffUs = Math.min(2 * listBackoffUs, Math.max(1, set.askWithinUs / 4));
-        scheduleWake();
     }
 
     private void askForList() {
@@ -596,7 +589,9 @@
                 failed(server, ofClass, !crowded);
             }
         }
-        ofClass.answeredAt = result == Result.OK || result == Result.ERROR ? now : ofClass.answeredAt;
+        boolean answered = result == Result.OK || result == Result.ERROR;
+        ofClass.answeredAt = answered ? now : ofClass.answeredAt;
+        server.answers |= answered;
         if (call.bound < 0) {
             adaptLimit(call, attempt, outcome);
         }
@@ -669,6 +664,7 @@
     /** A failure adds one; failures that say something of health, not of crowding, may eject the server. */
     private void failed(Server server, Health ofClass, boolean ill) {
         server.errors++;
+        server.answers = false;
         weightsStale = true;
         for (Health health : ill ? new Health[] {server.overall, ofClass} : new Health[0]) {
             health.history = health.history << 1 | 1;
@@ -762,12 +758,16 @@
         startAnew(server);
     }
 
-    /** An ejected server that is due for a trial with this request, or null. */
-    private Server trial(Call call) {
+    /** An ejected server that is due for a trial with this request, or null. Exception, last resort: where
+     * the others are full, one that still answers, if with errors, gets what is safe to repeat, one at a time
+     * and not as the last attempt. Errors cost no work, so the rest of what it does is won. */
+    private Server trial(Call call, boolean full) {
         for (Server server : ejected) {
             Health ofClass = server.byClass.get(call.request.classIndex());
             // Unsafe requests are risked only where no other could tell: for a class of their own.
-            boolean due = call.cls.repeat() == Repeat.UNSAFE
+            boolean due = full ? server.answers && now >= server.restUntil
+                    && call.cls.repeat() == Repeat.SAFE && call.attempts < call.servers.length - 1
+                    : call.cls.repeat() == Repeat.UNSAFE
                     ? !server.overall.ejected && ofClass.ejected
                             && now >= ofClass.trialAt + UNSAFE_TRIALS * ofClass.ejectedForUs
                     : server.overall.ejected && now >= server.overall.trialAt
@@ -806,7 +806,7 @@
 
     /** Two draws by weight; the one with fewer own requests in flight, ties at random. */
     private Server drawForFirstTry(Call call) {
-        Server due = ejected.isEmpty() || trialsLeft < 1 ? null : trial(call);
+        Server due = ejected.isEmpty() || trialsLeft < 1 ? null : trial(call, false);
         if (due != null) {
             trialsLeft--;
             return due;
@@ -814,13 +814,13 @@
         Server server = drawTwo(call, call.keySeed != 0 ? everywhere : nearby);
         // Exception, zones: where crossing costs, both draws are local, and two more from all servers win
         // only if the local choice is crowded, fails, or has at least two requests more in flight.
-        if (nearby == everywhere || call.keySeed != 0
-                || server != null && server.inFlight < SPILL_AT && server.errors == 0) {
-            return server;
+        if (nearby != everywhere && call.keySeed == 0
+                && (server == null || server.inFlight >= SPILL_AT || server.errors > 0)) {
+            Server other = drawTwo(call, everywhere);
+            server = server == null || other != null && (other.inFlight + SPILL_AT <= server.inFlight
+                    || other.errors < server.errors) ? other : server;
         }
-        Server other = drawTwo(call, everywhere);
-        return server == null || other != null && (other.inFlight + SPILL_AT <= server.inFlight
-                || other.errors < server.errors) ? other : server;
+        return server == null ? trial(call, true) : server;
     }
 
     private Server drawTwo(Call call, Pool from) {
--- a/src/test/java/kitemux/HealthTest.java
+++ b/src/test/java/kitemux/HealthTest.java
@@ -55,6 +55,46 @@
         assertTrue(hits >= 2 && hits <= 14, "trials in 20 s: " + hits);
     }
 
+    /** Asks for so many at once that the good servers are full; how many went to {@code s0}. */
+    private static long overflow(Node node, int classIndex, Result result) {
+        List<Long> crowd = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            crowd.add(node.ask(classIndex));
+        }
+        long before = node.sentTo("s0");
+        for (int round = 0; round < 100; round++) {
+            node.advance(1_000);
+            for (long id : crowd) {
+                Node.Sent last = node.last(id);
+                if (last != null && last.server().equals("s0") && last.atUs() == node.now - 1_000) {
+                    node.answer(id, result, 0);
+                }
+            }
+        }
+        return node.sentTo("s0") - before;
+    }
+
+    @Test
+    void whereTheOthersAreFullAServerThatAnswersWithErrorsGetsWhatIsSafeButNotTheLastAttempt() {
+        Node node = withFailingServer();
+        assertEjected(node);
+        long sent = overflow(node, Node.SAFE, Result.ERROR);
+        assertTrue(sent >= 10, "sent as a last resort: " + sent);
+        for (long id = 401; id <= 460; id++) {
+            long request = id;
+            long toBad = node.sent.stream()
+                    .filter(s -> s.request() == request && s.server().equals("s0")).count();
+            assertTrue(toBad < node.settings.maxAttempts, "attempts of one request: " + toBad);
+        }
+        assertEquals(0, overflow(withFailingServer(), Node.UNSAFE, Result.ERROR), "unsafe");
+    }
+
+    @Test
+    void whereTheOthersAreFullAServerThatDoesNotAnswerGetsNothingMore() {
+        long sent = overflow(withFailingServer(), Node.SAFE, Result.RESET);
+        assertTrue(sent <= 2, "sent: " + sent);
+    }
+
     @Test
     void unsafeRequestsAreNotUsedForTrials() {
         Node node = withFailingServer();
