Give a cold server that reports half of what others hold the whole multiple of its budget

Cause: slow start's gap, half of the rule's multiple of an even part, which shrinks as less is answered. Ruled out: their limits (2 to 4, with 0 or 1 in flight) and keys (draws passed them by for the gap alone). Their own report now lifts the half: what is in flight stays under the limit, so the rule's window cannot be spent. LoadReportTest has the case and fails without the change.

--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -1285,15 +1285,15 @@
 
     /** Exception, slow start (rule 4): the unit is an even part of what this node gets answered, times the
      * share of its capacity that a cold server has at least. All nodes together may send so many units as the
-     * rule's multiple; each spends half of that, spaced so that no burst spends it at once. Its limit keeps a
-     * server that is slow besides below even that. Arrivals are no measure: jams multiply them. */
+     * rule's multiple; each spends half of that, or all while it idles, so spaced that no burst does. Its
+     * limit keeps a server that is slow besides below even that. Arrivals are no measure: jams add to them. */
     private long coldGap(Server server) {
         double age = Math.max(0, now - server.startedAt) / (double) set.coldUs;
         double share = set.coldFrom + (1 - set.coldFrom) * Math.min(1, age);
-        // What unknown keys cost shows in its report: while it holds no more than others, it bears them.
-        boolean bears = server.heldAt > server.startedAt && server.held * ready.length <= heldByAll;
-        double units = Math.max(1, set.fallMultiple / 2) / (set.warmKeys && !bears ? UNKNOWN_KEY_COST : 1);
-        return (long) (evenGap() / (share * units));
+        // What unknown keys cost shows in its report: with no more than others it bears them.
+        double room = server.heldAt > server.startedAt ? heldByAll / ready.length / server.held : 0;
+        double units = Math.max(1, set.fallMultiple / (room < 2 ? 2 : 1));
+        return (long) (evenGap() * (set.warmKeys && room < 1 ? UNKNOWN_KEY_COST : 1) / (share * units));
     }
 
     /** Time between two requests to a server that gets an even part of what this node gets answered. */
--- a/src/test/java/kitemux/LoadReportTest.java
+++ b/src/test/java/kitemux/LoadReportTest.java
@@ -4,14 +4,19 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
+
 import org.junit.jupiter.api.Test;
 
 import kitemux.Balancer.Group;
+import kitemux.Balancer.ListKind;
 import kitemux.Balancer.Outcome;
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.ReportField;
 import kitemux.Balancer.RequestClass;
 import kitemux.Balancer.Result;
+import kitemux.Balancer.ServerEntry;
+import kitemux.Balancer.ServerState;
 import kitemux.Balancer.Settings;
 
 /** Exception, load reports: a server that holds well more than the others is passed over for a while. */
@@ -94,6 +99,30 @@
         return node.sent.size() - before;
     }
 
+    /** How many of 4,000 requests go to a cold server that says it holds so many, where others hold four. */
+    private static long toColdThatHolds(double held) {
+        Node node = amongServersThatHold(4);
+        node.list(ListKind.CHANGES, List.of(new ServerEntry("cold", 0, 0, ServerState.READY, 1, node.now)));
+        for (int k = 0; k < 4_000; k++) {
+            long id = node.askFor("k" + k % 400, Node.UNSAFE);
+            Node.Sent sent = node.last(id);
+            node.advance(2_000);
+            if (sent != null) {
+                node.balancer.onOutcome(node.now, new Outcome(id, 0, Result.OK, 2_000, true,
+                        new double[] {0, sent.server().equals("cold") ? held : 4}));
+            }
+        }
+        return node.sentTo("cold");
+    }
+
+    @Test
+    void aColdServerThatHoldsHalfOfWhatOthersHoldGetsMoreOfItsBudget() {
+        long idle = toColdThatHolds(1);
+        long busy = toColdThatHolds(3);
+        assertTrue(idle > 1.3 * busy, "idle " + idle + ", busy " + busy);
+        assertTrue(busy > 2 * toColdThatHolds(6), "busy " + busy + ", crowded " + toColdThatHolds(6));
+    }
+
     @Test
     void aReportWithoutTheFigureSaysNothing() {
         Node node = amongServersThatHold(2);
