--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -1286,7 +1286,7 @@
     /** Exception, slow start (rule 4): the unit is an even part of what this node gets answered, times the
      * share of its capacity that a cold server has at least. All nodes together may send so many units as the
      * rule's multiple; each spends half of that, or all while it idles, so spaced that no burst does. Its
-     * limit keeps a server that is slow besides below even that. Arrivals are no measure: jams add to them. */
+     * limit keeps a server slow besides below even that. Arrivals are no measure: jams add to them. */
     private long coldGap(Server server) {
         double age = Math.max(0, now - server.startedAt) / (double) set.coldUs;
         double share = set.coldFrom + (1 - set.coldFrom) * Math.min(1, age);
