--- a/src/test/java/kitemux/CordonTest.java
+++ b/src/test/java/kitemux/CordonTest.java
@@ -42,14 +42,7 @@
     @Test
     void anEjectedServerThatIsCordonedGetsNoTrial() {
         Node node = new Node().with(3);
-        while (node.balancer.skipped() == 0) {
-            long id = node.ask(Node.SAFE);
-            boolean bad = node.last(id).server().equals("s1");
-            node.answer(id, bad ? Result.ERROR : Result.OK, 1_000);
-            if (bad) {
-                node.answer(id, Result.OK, 1_000);
-            }
-        }
+        node.ejects("s1");
         cordon(node, "s1");
         assertEquals(1, node.balancer.skipped(), "counted once");
         long before = node.sentTo("s1");
--- a/src/test/java/kitemux/Node.java
+++ b/src/test/java/kitemux/Node.java
@@ -142,6 +142,18 @@
         return server;
     }
 
+    /** Serves requests, of which this server fails all that it gets, until it is ejected. */
+    void ejects(String server) {
+        while (balancer.skipped() == 0) {
+            long id = ask(SAFE);
+            boolean bad = last(id).server.equals(server);
+            answer(id, bad ? Result.ERROR : Result.OK, 1_000);
+            if (bad) {
+                answer(id, Result.OK, 1_000);
+            }
+        }
+    }
+
     /** Moves the clock on, firing the wake-ups that come due. */
     void advance(long us) {
         long until = now + us;
--- a/src/test/java/kitemux/RetuningTest.java
+++ b/src/test/java/kitemux/RetuningTest.java
@@ -58,14 +58,7 @@
     @Test
     void whatWasLearnedOfServersStays() {
         Node node = new Node().with(3);
-        while (node.balancer.skipped() == 0) {
-            long id = node.ask(Node.SAFE);
-            boolean bad = node.last(id).server().equals("s1");
-            node.answer(id, bad ? Result.ERROR : Result.OK, 1_000);
-            if (bad) {
-                node.answer(id, Result.OK, 1_000);
-            }
-        }
+        node.ejects("s1");
         node.balancer.onSettings(node.now, withNew(Repeat.SAFE));
         assertEquals(1, node.balancer.skipped(), "still ejected");
         long before = node.sentTo("s1");
