Turn a file down at SIGHUP that lost any key it had, not only settings

Seen on reading NodeConfig.again: only names under settings were held against the file at the start, and PROXY_LISTEN stands in for a missing listen, so a file without name, listen, limits.memory_mb or control was taken whole and counted under loads. Checked with two more rows of the reload test, which fail without this. The server list is left out, as it only counts at the start.

--- a/src/main/java/kitemux/node/NodeConfig.java
+++ b/src/main/java/kitemux/node/NodeConfig.java
@@ -32,11 +32,11 @@
  * @param connIdleUs after so long servers close idle connections
  * @param known the server list as this node last had it
  * @param settings the module's
- * @param settingKeys the names of all settings that the file holds
+ * @param keys all names that the file holds, but for what is in the list
  * @param operators what is only there for operators
  */
 record NodeConfig(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        long connIdleUs, HostList known, Settings settings, Set<String> settingKeys, Operators operators) {
+        long connIdleUs, HostList known, Settings settings, Set<String> keys, Operators operators) {
 
     /**
      * What a node has only where operators run it day by day.
@@ -90,26 +90,34 @@
         String discovery = env.getOrDefault("PROXY_DISCOVERY", json.path("discovery").asText());
         return new NodeConfig(address("listen", listen), address("discovery", discovery),
                 seed(json.path("seed").asText()), sockets.asInt(), idle, known(json, settings.zones),
-                settings, keys(json.get("settings"), ""), operators);
+                settings, ownKeys(json), operators);
     }
 
     /**
      * The file as it stands, for a node that runs by this configuration. The environment tells only where
-     * discovery was at the start. Defaults are for settings that a file never had: one that is gone from the
-     * file was lost on the way, and the rest of that file is not to be trusted either.
+     * discovery was at the start. Defaults, and the environment in place of an address, are for what a file
+     * never had: a key that is gone from the file was lost on the way, and the rest of that file is not to be
+     * trusted either.
      */
     NodeConfig again(Map<String, String> env) throws ConfigException {
         Map<String, String> now = new HashMap<>(env);
         now.remove("PROXY_DISCOVERY");
         NodeConfig read = read(now);
-        for (String key : settingKeys) {
-            if (!read.settingKeys.contains(key)) {
-                throw new ConfigException("settings." + key, "is missing, and was there before");
+        for (String key : keys) {
+            if (!read.keys.contains(key)) {
+                throw new ConfigException(key, "is missing, and was there before");
             }
         }
         return read;
     }
 
+    /** The list aside, which only counts at the start and has the entries that it has. */
+    private static Set<String> ownKeys(JsonNode json) {
+        Set<String> keys = keys(json, "");
+        keys.removeIf(key -> key.equals("known") || key.startsWith("known."));
+        return keys;
+    }
+
     /** All names in this object; of what stands in a list, those that every entry has. */
     private static Set<String> keys(JsonNode json, String prefix) {
         Set<String> keys = new TreeSet<>();
--- a/src/test/java/kitemux/node/ReloadTest.java
+++ b/src/test/java/kitemux/node/ReloadTest.java
@@ -36,7 +36,7 @@
 
     private static String file(Site site, int attempts, String... classes) {
         return """
-                {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"7","limits":{"sockets":256},
+                {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"7","limits":{"memory_mb":128,"sockets":256},
                  "settings":{"zones":["here"],"limits":{"attemptsCap":%d,"cancelling":true},
                   "rules":{"drainGraceUs":1000000},"classes":[%s]}}
                 """.formatted(site.discovery.endpoint(), attempts, String.join(",", classes));
@@ -52,7 +52,7 @@
         site.operated = true;
         site.settings.classes.clear();
         site.settings.classes.addAll(NodeConfig.read(env).settings().classes);
-        site.settingKeys = NodeConfig.read(env).settingKeys();
+        site.keys = NodeConfig.read(env).keys();
         return site.start(servers);
     }
 
@@ -149,6 +149,8 @@
         "\"discovery\":\"[^\"]*\", | `` | discovery is not address:port",
         "\"discovery\":\"[^\"]*\" | \"discovery\":\"nowhere\" | discovery is not address:port: nowhere",
         "\"settings\" | \"sittings\" | settings is missing",
+        "\"name\":\"n0\", | `` | name is missing",
+        "\"memory_mb\":128, | `` | limits.memory_mb is missing",
     })
     void aBrokenFileChangesNothingAndIsCounted(String good, String bad, String reason) throws Exception {
         try (FarServer server = FarServer.serving("x"); FarServer moved = FarServer.serving("");
--- a/src/test/java/kitemux/node/Site.java
+++ b/src/test/java/kitemux/node/Site.java
@@ -38,7 +38,7 @@
     /** Whether the node has an address for operators, and what it shares with other processes of the node. */
     boolean operated;
     Path folder;
-    Set<String> settingKeys = Set.of();
+    Set<String> keys = Set.of();
     Node node;
     InetSocketAddress control;
     private InetSocketAddress address;
@@ -97,7 +97,7 @@
         return new NodeConfig(anyPort(),
                 NodeConfig.address("discovery", discovery.endpoint()), 7, sockets, connIdleUs,
                 HostList.decode(new ObjectMapper().readTree(known), settings.zones, ""),
-                settings, settingKeys, new NodeConfig.Operators(operated ? anyPort() : null, folder, false));
+                settings, keys, new NodeConfig.Operators(operated ? anyPort() : null, folder, false));
     }
 
     /** Starts the node with the servers s0, s1, ... */
