Understand requests that name the host in their first line, and lines of 8,000 bytes

HTTP/1.1 lets a client write the whole address in its first line and asks every server to understand that; the reader took http://host/api/x for a path that is none and answered 404. Netty's own bound on the line is 4,096 bytes where HTTP wants 8,000. What goes on to the server is path and query, as before.

--- a/src/main/java/kitemux/node/ClientServer.java
+++ b/src/main/java/kitemux/node/ClientServer.java
@@ -316,6 +316,7 @@
             came = 0;
             length = HttpUtil.getContentLength(request, -1L);
             try {
+                request.setUri(RequestReader.target(request.uri()));
                 String path = RequestReader.path(request.uri());
                 if (path.equals("/up")) {
                     verdict = new Verdict(draining && !shared ? HttpResponseStatus.SERVICE_UNAVAILABLE
--- a/src/main/java/kitemux/node/RequestReader.java
+++ b/src/main/java/kitemux/node/RequestReader.java
@@ -12,6 +12,7 @@
 /** Reads a client's request by the protocol; what does not keep to it is turned down here. */
 final class RequestReader {
     private static final String PREFIX = "/api/";
+    private static final String SCHEME = "http://";
     /** The way from the client, by which its time is shorter than it says. */
     private static final long WAY_US = 1_000;
     private static final double MOST_LEFT_US = 3.6e9;
@@ -22,6 +23,20 @@
         this.tuning = tuning;
     }
 
+    /** Path and query of what is asked for, which a client may write with the host that it asks. */
+    static String target(String uri) {
+        if (!uri.regionMatches(true, 0, SCHEME, 0, SCHEME.length())) {
+            return uri;
+        }
+        String behind = uri.substring(SCHEME.length());
+        int host = 0;
+        while (host < behind.length() && "/?".indexOf(behind.charAt(host)) < 0) {
+            host++;
+        }
+        String target = behind.substring(host);
+        return target.startsWith("/") ? target : "/" + target;
+    }
+
     static String path(String uri) {
         int end = uri.indexOf('?');
         return end < 0 ? uri : uri.substring(0, end);
--- a/src/main/java/kitemux/node/StrictServerCodec.java
+++ b/src/main/java/kitemux/node/StrictServerCodec.java
@@ -13,6 +13,9 @@
  * length where there are chunks too, and another on the way may have gone by it.
  */
 final class StrictServerCodec extends CombinedChannelDuplexHandler<HttpRequestDecoder, HttpResponseEncoder> {
+    /** HTTP wants at least 8,000 bytes of a request's first line to be understood. */
+    private static final int MOST_LINE = 8 << 10;
+
     StrictServerCodec() {
         super(new Decoder(), new HttpResponseEncoder());
     }
@@ -25,7 +28,7 @@
 
     private static final class Decoder extends HttpRequestDecoder {
         Decoder() {
-            super(new HttpDecoderConfig().setMaxChunkSize(Flow.MOST_PART));
+            super(new HttpDecoderConfig().setMaxChunkSize(Flow.MOST_PART).setMaxInitialLineLength(MOST_LINE));
         }
 
         @Override
--- a/src/test/java/kitemux/node/ClientServerTest.java
+++ b/src/test/java/kitemux/node/ClientServerTest.java
@@ -38,6 +38,24 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"http://h:8000", "HTTP://h", "http://[::1]:80"})
+    void aRequestThatNamesTheHostInItsFirstLineGoesOnByItsPath(String host) throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+            assertEquals(200, site.ask(Http.page(host + "/api/7f3a?u=http://y", "t", "400m")).status());
+            assertEquals("/api/7f3a?u=http://y", FarServer.next(server.requests).path());
+            assertEquals(200, site.ask("GET " + host + "/up HTTP/1.1\r\nHost: h\r\n\r\n").status());
+            assertEquals(404, site.ask("GET " + host + "?/up HTTP/1.1\r\nHost: h\r\n\r\n").status());
+        }
+    }
+
+    @Test
+    void aFirstLineOfEightThousandBytesIsUnderstood() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+            assertEquals(200, site.ask(Http.page("/api/" + "k".repeat(7_900), "t", "400m")).status());
+        }
+    }
+
     @Test
     void aConnectionCarriesOneRequestAfterAnother() throws Exception {
         try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
