Say yes to a cordon only once every process of the node has looked for it

A call to one of two processes is in the file at once, but the other one reads it four times a second, and the rule on drains holds from the yes. The yes now waits for two such turns, 0.5 s of the 1 s that an answer may take, where $TMPDIR lets processes share cordons. Not taken: a word back from each process, which would have to know how many there are. The test fails without this.

--- a/src/main/java/kitemux/node/ControlServer.java
+++ b/src/main/java/kitemux/node/ControlServer.java
@@ -32,8 +32,12 @@
         /** All figures, a line each. */
         String figures();
 
-        /** Keeps a server out, or lets it in again. */
-        void cordon(String serverId, boolean out) throws RefusedException;
+        /**
+         * Keeps a server out, or lets it in again.
+         *
+         * @return after how many milliseconds all processes of the node do so
+         */
+        long cordon(String serverId, boolean out) throws RefusedException;
     }
 
     /** A call that is not carried out; the message says why. */
@@ -88,7 +92,10 @@
         callers.forEach(caller -> caller.channel.close());
     }
 
-    private String answer(String line) {
+    /** What is said, and in how many milliseconds. */
+    private record Answer(String text, long inMs) { }
+
+    private Answer answer(String line) {
         String[] words = line.strip().split("\\s+");
         String call = words[0];
         try {
@@ -98,19 +105,20 @@
                 default -> throw new RefusedException("unknown call");
             }
             if (call.equals("counters")) {
-                return node.figures() + "END";
+                return new Answer(node.figures() + "END", 0);
             }
             if (!call.equals("health")) {
-                node.cordon(words[1], call.equals("cordon"));
-            } else if (!node.serves()) {
+                return new Answer("YES", node.cordon(words[1], call.equals("cordon")));
+            }
+            if (!node.serves()) {
                 throw new RefusedException("not serving");
             }
-            return "YES";
+            return new Answer("YES", 0);
         } catch (RefusedException e) {
-            return "NO " + e.getMessage();
+            return new Answer("NO " + e.getMessage(), 0);
         } catch (RuntimeException e) {
             Log.error("call " + call, e);
-            return "NO defect in the node";
+            return new Answer("NO defect in the node", 0);
         }
     }
 
@@ -124,6 +132,7 @@
     private final class Caller extends SimpleChannelInboundHandler<ByteBuf> {
         private final SocketChannel channel;
         private final Future<?> end;
+        private Future<?> due;
         private boolean answered;
 
         Caller(SocketChannel channel) {
@@ -133,13 +142,19 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf line) {
-            if (!answered) {
-                say(answer(line.toString(StandardCharsets.UTF_8)));
+            if (answered) {
+                return;
+            }
+            answered = true;
+            Answer answer = answer(line.toString(StandardCharsets.UTF_8));
+            if (answer.inMs == 0) {
+                say(answer.text);
+            } else {
+                due = loop.schedule(() -> say(answer.text), answer.inMs, TimeUnit.MILLISECONDS);
             }
         }
 
         private void say(String answer) {
-            answered = true;
             // Not closed yet: with more of the caller's unread, that would break the answer off.
             channel.writeAndFlush(Unpooled.copiedBuffer(answer + "\n", StandardCharsets.UTF_8))
                     .addListener(written -> channel.shutdownOutput());
@@ -148,12 +163,16 @@
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             end.cancel(false);
+            if (due != null) {
+                due.cancel(false);
+            }
             callers.remove(this);
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             if (cause instanceof TooLongFrameException && !answered) {
+                answered = true;
                 say("NO line too long");
             } else if (!(cause instanceof IOException) && !(cause instanceof TooLongFrameException)) {
                 Log.error("connection to an operator", cause);
--- a/src/main/java/kitemux/node/Cordons.java
+++ b/src/main/java/kitemux/node/Cordons.java
@@ -48,6 +48,11 @@
         return out;
     }
 
+    /** Whether other processes of this node may go by them too. */
+    boolean areShared() {
+        return file != null;
+    }
+
     void listed(HostList list) {
         list.hosts().forEach(host -> listed.put(host.entry().id(), true));
     }
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -51,6 +51,8 @@
     private static final byte[] NO_BODY = {};
     private static final long PROBE_US = 1_000_000;
     private static final long HOUSEKEEPING_MS = 250;
+    /** By then any other process of this node has looked for cordons, also if it was held up for a while. */
+    static final long HEEDED_MS = 2 * HOUSEKEEPING_MS;
     /** A server that neither takes nor gives anything for so long, amid something that flows, is gone. */
     private static final long MOST_SILENCE_US = 10_000_000;
 
@@ -268,10 +270,12 @@
         }
 
         @Override
-        public void cordon(String serverId, boolean out) throws ControlServer.RefusedException {
+        public long cordon(String serverId, boolean out) throws ControlServer.RefusedException {
             cordons.change(serverId, out);
             Log.line((out ? "cordoned server " : "uncordoned server ") + serverId);
             Node.this.cordon();
+            // The yes binds every process of the node, and another one learns of it by looking.
+            return out && cordons.areShared() ? HEEDED_MS : 0;
         }
     }
 
--- a/src/test/java/kitemux/node/ControlServerTest.java
+++ b/src/test/java/kitemux/node/ControlServerTest.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -184,7 +185,10 @@
             assertEquals("two", second.ask(Http.page("t")).body());
             assertEquals("YES\n", second.call("uncordon s0\n"));
             first.awaitFigure("node_skipped_app_servers 0");
+            long calledAt = System.nanoTime();
             assertEquals("YES\n", second.call("cordon s1\n"));
+            long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - calledAt);
+            assertTrue(tookMs >= Node.HEEDED_MS, "no yes before the other process has looked: " + tookMs);
             first.awaitFigure("node_skipped_app_servers 1");
             assertEquals("one", first.ask(Http.page("u")).body());
         }
