Draw near servers first for requests with a key, as for those without

Cause: drawForFirstTry drew keys from all servers and left the exception for zones to requests without a key, and every request here has one. Where a near server has two more in flight or fails, two draws from all decide, as before.

The test fails without this.

--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -414,7 +414,7 @@
         Arrays.stream(before).forEach(this::closeIfUnused);
         everywhere = new Pool(ready, set.warmKeys);
         nearby = set.crossZonePrice == 0 ? everywhere : new Pool(
-                Arrays.stream(ready).filter(s -> s.zone == set.myZone).toArray(Server[]::new), false);
+                Arrays.stream(ready).filter(s -> s.zone == set.myZone).toArray(Server[]::new), set.warmKeys);
         weightsStale = true;
         countReady();
     }
@@ -811,11 +811,10 @@
             trialsLeft--;
             return due;
         }
-        Server server = drawTwo(call, call.keySeed != 0 ? everywhere : nearby);
+        Server server = drawTwo(call, nearby);
         // Exception, zones: where crossing costs, both draws are local, and two more from all servers win
         // only if the local choice is crowded, fails, or has at least two requests more in flight.
-        if (nearby != everywhere && call.keySeed == 0
-                && (server == null || server.inFlight >= SPILL_AT || server.errors > 0)) {
+        if (nearby != everywhere && (server == null || server.inFlight >= SPILL_AT || server.errors > 0)) {
             Server other = drawTwo(call, everywhere);
             server = server == null || other != null && (other.inFlight + SPILL_AT <= server.inFlight
                     || other.errors < server.errors) ? other : server;
@@ -861,10 +860,10 @@
     }
 
     /** Exception, keys: acts where servers remember keys. The same weights, but the draws are fixed by the
-     * request's key, as in rendezvous hashing: every node draws the same servers for a key, and a server that
-     * gains errors loses keys to those drawn next, while the other keys stay where they are warm. When all
-     * draws are full the request waits: at just any server it would cost the work that memory saves, and a
-     * crowd would feed itself. Harm: a few hot keys may wait while other servers have room. */
+     * request's key, as in rendezvous hashing: nodes draw the same servers for a key, near ones first, and a
+     * server that gains errors loses keys to those drawn next, while the others stay where they are warm.
+     * When all draws are full the request waits: at just any server it would cost the work that memory saves,
+     * and a crowd would feed itself. Harm: a few hot keys may wait while other servers have room. */
     private Server drawByKey(Call call, Pool from, List<Server> except) {
         for (int i = 0; i < KEY_DRAWS && from.places.length > 0; i++) {
             long hash = mix(call.keySeed + i * 0x9E3779B97F4A7C15L);
--- a/src/test/java/kitemux/KeysTest.java
+++ b/src/test/java/kitemux/KeysTest.java
@@ -9,6 +9,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.junit.jupiter.api.Test;
 
@@ -57,6 +58,24 @@
         keysOf.forEach((s, n) -> assertTrue(n >= 6 && n <= 40, s + " has " + n + " of 400 keys"));
     }
 
+    @Test
+    void whereCrossingZonesCostsAKeyStaysNearUntilItsNearServersAreBusy() {
+        List<ServerEntry> entries = new ArrayList<>();
+        for (int i = 0; i < SERVERS; i++) {
+            entries.add(new ServerEntry("s" + i, i % 4 == 0 ? 0 : 1, 0, ServerState.READY, 1, 0));
+        }
+        Node node = node(0, true).list(ListKind.FULL, entries);
+        Node other = node(1, true).list(ListKind.FULL, entries);
+        Map<String, String> places = placesOf(node);
+        assertEquals(places, placesOf(other), "nodes of a zone send a key to the same server");
+        assertEquals(Set.of("s0", "s4", "s8", "s12", "s16"), new HashSet<>(places.values()));
+        Set<String> used = new HashSet<>();
+        for (int i = 0; i < 16; i++) {
+            used.add(node.last(node.askFor("hot", Node.UNSAFE)).server());
+        }
+        assertTrue(!places.values().containsAll(used), "crowded near servers keep it: " + used);
+    }
+
     @Test
     void whereServersForgetKeysTheyDoNotMatter() {
         Node node = node(0, false);
