Count a repeat's aim from its client's first try, where its time left tells when that was

Counted by a probe of arrivals and ends by class: a client's repeat of an unsafe class says the rest of its whole time (deadlines of 5 and 6 s, 2 to 5 s left), a last repeat of search too (1.73 of 2 s), other repeats of search what every try has (1.14 s). Faulty lines: aimAt in the constructor of Call; the test for lateness, which took a share of what was left of the aim; and onRequest, which sent a request with a key ahead of the queue however late it was. Ruled out: that refusals come too late, as search waits 85 ms before one. A late repeat is still served where nobody waits.

--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -61,7 +61,7 @@
     private static final double SLOW_BY = 0.8;
     /** Most errors that slow answers add up to: a server that is slower still has its limit. */
     private static final int MOST_SLOW = 8;
-    /** Growth of that least mean with each answer, to follow a change of work: by half in 4,000. */
+    /** Growth of a least value with each new one, and fall of a largest, to follow changes: half in 4,000. */
     private static final double LEAST_DRIFT = 1.0001;
     /** Longest time between two requests to a server whose limit is under one: one second kept it choked. */
     private static final long MOST_REST_US = 2_000_000;
@@ -74,6 +74,8 @@
     /** A waiting request is too late with so many usual latencies left to its aim, or this share at most. */
     private static final double TOO_LATE_AT = 2;
     private static final double MOST_LATE_AT = 0.8;
+    /** A repeat whose time left is this near to a first try's, in deadlines, has what every try has. */
+    private static final double FIRST_LEFT_SLACK = 0.01;
     /** Failures among a server's last {@link #REMEMBERED} answers from which on it is ejected. */
     private static final int EJECT_AT = 4;
     private static final int REMEMBERED = 16;
@@ -219,11 +221,11 @@
         double latencyUs;
         double leastLatencyUs;
         int answers;
+        double firstLeftUs;
         /** Its attempts, in the order sent, until they are known or found silent. */
         final ArrayDeque<Try> watched = new ArrayDeque<>();
     }
 
-    /** An attempt that is watched for silence. */
     private record Try(Call call, int attempt) { }
 
     /** What is drawn from: servers, their weights summed up to each, and the places that keys draw. */
@@ -244,6 +246,7 @@
         final Request request;
         final RequestClass cls;
         final long arrivedAt;
+        final long aimUs;
         final long aimAt;
         final long deadlineAt;
         final Server[] servers;
@@ -264,13 +267,20 @@
         int bound = -1;
         boolean ended;
 
-        Call(Request request, Settings set, long now) {
+        Call(Request request, Settings set, long now, Usual known) {
             this.request = request;
             cls = set.classes.get(request.classIndex());
-            long aim = Math.min(cls.deadlineUs(), cls.aimUs() + (long) (cls.aimStretch() * request.workUs()));
+            aimUs = Math.min(cls.deadlineUs(), cls.aimUs() + (long) (cls.aimStretch() * request.workUs()));
             arrivedAt = now;
             deadlineAt = now + Math.max(0, request.leftUs());
-            aimAt = Math.min(deadlineAt, now + aim);
+            // The aim runs from the client's first try. A repeat with other than a first try's time left has
+            // the rest of the client's whole time, which tells when that was; else it is taken for new.
+            known.firstLeftUs = request.retry() && known.firstLeftUs > 0 ? known.firstLeftUs
+                    : Math.max(request.leftUs(), known.firstLeftUs / LEAST_DRIFT);
+            boolean tells = request.retry() && Math.abs(request.leftUs() - known.firstLeftUs)
+                    > FIRST_LEFT_SLACK * cls.deadlineUs();
+            long sinceUs = tells ? Math.max(0, cls.deadlineUs() - request.leftUs()) : 0;
+            aimAt = Math.min(deadlineAt, now + aimUs - sinceUs);
             servers = new Server[set.maxAttempts];
             sentAt = new long[set.maxAttempts];
             results = new Result[set.maxAttempts];
@@ -413,13 +423,11 @@
         }
         Arrays.stream(before).forEach(this::closeIfUnused);
         everywhere = new Pool(ready, set.warmKeys);
-        nearby = set.crossZonePrice == 0 ? everywhere : new Pool(
-                Arrays.stream(ready).filter(s -> s.zone == set.myZone).toArray(Server[]::new), set.warmKeys);
-        weightsStale = true;
+        nearby = set.crossZonePrice == 0 ? everywhere
+                : new Pool(Arrays.stream(ready).filter(this::isNear).toArray(Server[]::new), set.warmKeys);
         countReady();
     }
 
-    /** An attempt is no longer in flight. */
     private void leave(Server server) {
         server.inFlight--;
         inFlight -= isCounted(server) ? 1 : 0;
@@ -442,13 +450,10 @@
         return Arrays.stream(all).filter(used::contains).toArray(Server[]::new);
     }
 
-    /** This node's part of these servers. */
     private List<Server> part(Server[] all) {
         int zones = set.crossZonePrice == 0 ? 1 : Math.max(1, set.zones.size());
-        Server[] near = zones == 1 ? all
-                : Arrays.stream(all).filter(s -> s.zone == set.myZone).toArray(Server[]::new);
-        Server[] far = zones == 1 ? new Server[0]
-                : Arrays.stream(all).filter(s -> s.zone != set.myZone).toArray(Server[]::new);
+        Server[] near = Arrays.stream(all).filter(s -> zones == 1 || isNear(s)).toArray(Server[]::new);
+        Server[] far = Arrays.stream(all).filter(s -> zones > 1 && !isNear(s)).toArray(Server[]::new);
         int nearUsed = partOf(near.length, (double) set.nodes / zones, zones == 1 ? 2 : 1);
         int farUsed = partOf(far.length, set.nodes, 1);
         if (nearUsed == near.length && farUsed == far.length) {
@@ -461,6 +466,10 @@
         return used;
     }
 
+    private boolean isNear(Server server) {
+        return server.zone == set.myZone;
+    }
+
     private static int partOf(int servers, double nodes, int atLeast) {
         // In a fleet that has shrunk, the least of all nodes would meet the cap on connections.
         int least = (int) Math.max(atLeast, Math.min(LEAST_IN_USE, 2 * SHARERS * servers / nodes));
@@ -543,12 +552,12 @@
                 || request.tenant() >= set.tenants.size() || calls.containsKey(request.id())) {
             throw new IllegalArgumentException("unknown class or tenant, or an id that is held: " + request);
         }
-        Call call = new Call(request, set, now);
+        Call call = new Call(request, set, now, usual.get(request.classIndex()));
         calls.put(request.id(), call);
         call.value = value(call);
         boolean turnedDown = sparse && random.nextDouble() >= admitted(call);
         // Nobody waits for the same server, or those who do are tried with each answer.
-        boolean first = !turnedDown && (waiting.isEmpty() || call.keySeed != 0);
+        boolean first = !turnedDown && (waiting.isEmpty() || call.keySeed != 0 && !isLate(call));
         Server server = first && now < call.deadlineAt ? drawForFirstTry(call) : null;
         if (server != null) {
             send(call, server);
@@ -581,13 +590,10 @@
         if (result == Result.OK) {
             succeeded(server, ofClass,
                     sparse && outcome.latencyUs() > SLOW_BY * usual.get(call.request.classIndex()).latencyUs);
-        } else if (result != Result.CANCELLED && result != Result.MOOT) {
+        } else if (result != Result.CANCELLED && result != Result.MOOT && !call.silent[attempt]) {
             // A time-out of a server that has answered since tells of crowding, as being full does.
-            boolean crowded = result == Result.FULL
-                    || result == Result.TIMEOUT && ofClass.answeredAt >= call.sentAt[attempt];
-            if (!call.silent[attempt]) {
-                failed(server, ofClass, !crowded);
-            }
+            failed(server, ofClass, result != Result.FULL
+                    && (result != Result.TIMEOUT || ofClass.answeredAt < call.sentAt[attempt]));
         }
         boolean answered = result == Result.OK || result == Result.ERROR;
         ofClass.answeredAt = answered ? now : ofClass.answeredAt;
@@ -742,7 +748,6 @@
     }
 
     private void startAnew(Server server) {
-        weightsStale |= server.errors > 0;
         server.errors = 0;
         restore(server.overall);
         server.byClass.forEach(ServiceQBalancer::restore);
@@ -892,10 +897,8 @@
     }
 
     private void sumUp(Pool pool) {
-        long sum = 0;
         for (int i = 0; i < pool.servers.length; i++) {
-            sum += weight(pool.servers[i]);
-            pool.weightsUpTo[i] = sum;
+            pool.weightsUpTo[i] = weight(pool.servers[i]) + (i == 0 ? 0 : pool.weightsUpTo[i - 1]);
         }
     }
 
@@ -998,6 +1001,11 @@
         }
     }
 
+    private boolean isLate(Call call) {
+        return call.aimAt - now < Math.min(MOST_LATE_AT * call.aimUs,
+                TOO_LATE_AT * usual.get(call.request.classIndex()).latencyUs);
+    }
+
     /** Sends what waits as far as servers allow and ends what has run out of time. */
     private void serveWaiting(int keysToTry) {
         int kept = 0;
@@ -1010,8 +1018,7 @@
             if (!call.waiting) {
                 continue;
             }
-            boolean late = call.aimAt - now < Math.min(MOST_LATE_AT * (call.aimAt - call.arrivedAt),
-                    TOO_LATE_AT * usual.get(call.request.classIndex()).latencyUs);
+            boolean late = isLate(call);
             if (call.deadlineAt - now <= sweepUs + set.tickUs || late && call.cls.lateWorth() == 0
                     || !mayTryAgain(call)) {
                 giveUp(call);
@@ -1082,25 +1089,26 @@
         double before = server.limit;
         int c = call.request.classIndex();
         Usual known = usual.get(c);
+        Result result = outcome.result();
+        boolean ok = result == Result.OK;
         // A client that leaves hides how long its answer would have taken, so that only quick ones stay in
         // sight: after more than the usual time, what it has waited counts like an answer no quicker.
-        boolean left = outcome.result() == Result.CANCELLED && call.left
+        boolean left = result == Result.CANCELLED && call.left
                 && outcome.latencyUs() > SLOW_BY * known.latencyUs;
-        if (outcome.result() == Result.OK || outcome.result() == Result.TIMEOUT
-                || outcome.result() == Result.FULL || left) {
-            timely += TIMELY_GAIN * ((outcome.result() == Result.OK && now <= call.aimAt ? 1 : 0) - timely);
+        boolean late = result == Result.TIMEOUT || result == Result.FULL;
+        if (ok || late || left) {
+            timely += TIMELY_GAIN * ((ok && now <= call.arrivedAt + call.aimUs ? 1 : 0) - timely);
         }
-        if (outcome.result() == Result.OK) {
+        if (ok) {
             known.latencyUs += Math.max(MEAN_GAIN, 1.0 / ++known.answers)
                     * (outcome.latencyUs() - known.latencyUs);
             // The first answers' mean is chance; until then the aim alone tells.
             known.leastLatencyUs = !isUsualKnown(c) ? Double.MAX_VALUE
                     : Math.min(known.leastLatencyUs * LEAST_DRIFT, known.latencyUs);
         }
-        if (outcome.result() == Result.OK || left) {
-            double aim = call.aimAt - call.arrivedAt;
+        if (ok || left) {
             boolean patient = set.warmKeys || sparse && known.leastLatencyUs < Double.MAX_VALUE;
-            double crowded = Math.min((patient ? SPARSE_CROWDED_AT : CROWDED_AT) * aim, set.warmKeys
+            double crowded = Math.min((patient ? SPARSE_CROWDED_AT : CROWDED_AT) * call.aimUs, set.warmKeys
                     ? Double.MAX_VALUE : (sparse ? 2 : 1) * CROWDED_BY * known.leastLatencyUs);
             double rank = sparse ? rank(call) : 1;
             // Or what it holds says that a request of the class with the shortest aim would be late there.
@@ -1116,19 +1124,16 @@
                         && (!isCold(server) || server.limit * ready.length < limits)
                         ? limitStep * rank * ease : 0;
             }
-        } else if (outcome.result() == Result.TIMEOUT || outcome.result() == Result.FULL) {
+        } else if (late) {
             // Where keys are warm a full server is cut to what it held: less would send its keys elsewhere.
-            boolean toHeld = set.warmKeys && outcome.result() == Result.FULL;
-            cutLimit(call, attempt, toHeld ? 0 : LIMIT_HARD_CUT);
+            cutLimit(call, attempt, set.warmKeys && result == Result.FULL ? 0 : LIMIT_HARD_CUT);
         }
         if (server.limit < 1) {
             // A part of a place is kept by time: in flight for that part of it only.
             server.restUs = Math.min(MOST_REST_US, (long) (outcome.latencyUs() / server.limit));
             server.restUntil = Math.max(server.restUntil, call.sentAt[attempt]) + server.restUs;
         }
-        if (isCounted(server)) {
-            limits += server.limit - before;
-        }
+        limits += isCounted(server) ? server.limit - before : 0;
     }
 
     /** One cut for all that was sent before the last one. */
@@ -1152,11 +1157,9 @@
         double part = call.overShare ? OVER_SHARE_PART : 1;
         boolean atLimit = server.inFlight + 1 > part * server.limit
                 && (server.inFlight > ease * ahead || now < server.restUntil - ease * ahead * server.restUs);
-        if (atLimit || inFlight > ease * (1 + ahead) && inFlight + 1 > part * limits) {
-            server.wantedAt = call.overShare ? server.wantedAt : now;
-            return true;
-        }
-        return false;
+        boolean crowded = atLimit || inFlight > ease * (1 + ahead) && inFlight + 1 > part * limits;
+        server.wantedAt = crowded && !call.overShare ? now : server.wantedAt;
+        return crowded;
     }
 
     /** Exception, throttling: the chance with which a sparse node takes up a request; it falls as its answers
--- a/src/test/java/kitemux/Node.java
+++ b/src/test/java/kitemux/Node.java
@@ -103,8 +103,12 @@
     }
 
     long askFor(String key, int classIndex) {
+        return askFor(key, classIndex, 1_000_000, false);
+    }
+
+    long askFor(String key, int classIndex, long leftUs, boolean repeat) {
         long id = nextId++;
-        balancer.onRequest(now, new Request(id, classIndex, 0, 1_000_000, 0, false, key));
+        balancer.onRequest(now, new Request(id, classIndex, 0, leftUs, 0, repeat, key));
         return id;
     }
 
