Learn what a held request costs from a node's first answers as a plain mean

Cause: heed() followed heldCostUs from 0 with a gain of 1/32, so that for the first forty reports no server could count as holding too much and no first limit was cut.

The test fails without this.

--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -164,6 +164,7 @@
     private final int heldField;
     private double leastAimUs;
     private double heldCostUs;
+    private int heldAnswers;
     private long askListAt = Long.MAX_VALUE;
     private long listBackoffUs = LIST_BACKOFF_US;
 
@@ -962,7 +963,6 @@
                 : (long) (SILENT_BY * usual.get(classIndex).latencyUs) + 2 * set.tickUs;
     }
 
-    /** Whether a class has had answers enough for their mean to be more than chance. */
     private boolean isUsualKnown(int classIndex) {
         return usual.get(classIndex).answers * MEAN_GAIN >= 0.5;
     }
@@ -1102,7 +1102,7 @@
         if (ok) {
             known.latencyUs += Math.max(MEAN_GAIN, 1.0 / ++known.answers)
                     * (outcome.latencyUs() - known.latencyUs);
-            // The first answers' mean is chance; until then the aim alone tells.
+            // The mean of so few answers is chance; until it is known the aim alone tells.
             known.leastLatencyUs = !isUsualKnown(c) ? Double.MAX_VALUE
                     : Math.min(known.leastLatencyUs * LEAST_DRIFT, known.latencyUs);
         }
@@ -1196,8 +1196,8 @@
             server.held = outcome.report()[heldField];
             server.heldAt = now;
             server.heldForUs = Math.max(1, outcome.latencyUs());
-            heldCostUs += outcome.result() != Result.OK ? 0
-                    : MEAN_GAIN * (outcome.latencyUs() / (server.held + 1) - heldCostUs);
+            heldCostUs += outcome.result() != Result.OK ? 0 : Math.max(MEAN_GAIN, 1.0 / ++heldAnswers)
+                    * (outcome.latencyUs() / (server.held + 1) - heldCostUs);
         }
     }
 
--- a/src/test/java/kitemux/LoadReportTest.java
+++ b/src/test/java/kitemux/LoadReportTest.java
@@ -91,6 +91,17 @@
         assertTrue(takenAtOnce(node) <= SERVERS, "one each at most");
     }
 
+    @Test
+    void theFirstAnswersOfANodeTellThatItsServersHoldTooMuch() {
+        Node node = node();
+        for (int k = 0; k < 2 * SERVERS; k++) {
+            // Forty held requests take 400 ms; the shortest aim is 200 ms.
+            serve(node, "k" + k, LEISURELY, 400_000, 40);
+        }
+        int taken = takenAtOnce(node);
+        assertTrue(taken < takenAtOnce(node()) / 2, "taken at once: " + taken);
+    }
+
     private static int takenAtOnce(Node node) {
         int before = node.sent.size();
         for (int k = 0; k < 100; k++) {
