--- /dev/null
+++ b/src/test/java/kitemux/node/ClassListTest.java
@@ -0,0 +1,40 @@
+package kitemux.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+
+import kitemux.Main;
+
+/** The list from which the class-data archive is made: what it lacks makes every start of a node longer. */
+class ClassListTest {
+
+    @Test
+    void theListNamesEveryClassOfANode() throws Exception {
+        Path classes = Path.of(Main.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+        Set<String> listed = Set.copyOf(Files.readAllLines(Path.of("deploy/classes.lst")));
+        List<String> built = built(classes);
+        assertTrue(built.contains("kitemux/node/Node"), built.toString());
+        List<String> missing = built.stream().filter(name -> !listed.contains(name)).toList();
+        assertEquals(List.of(), missing, "make the list anew, as the README says");
+    }
+
+    /** The adapter's are left out, as no node loads them. */
+    private static List<String> built(Path classes) throws IOException {
+        try (Stream<Path> files = Files.walk(classes.resolve("kitemux"))) {
+            return files.map(file -> classes.relativize(file).toString().replace('\\', '/'))
+                    .filter(name -> name.endsWith(".class") && !name.startsWith("kitemux/adapter/"))
+                    .map(name -> name.substring(0, name.length() - ".class".length()))
+                    .sorted().collect(Collectors.toList());
+        }
+    }
+}
