--- a/src/test/java/kitemux/node/ReloadTest.java
+++ b/src/test/java/kitemux/node/ReloadTest.java
@@ -36,7 +36,8 @@
 
     private static String file(Site site, int attempts, String... classes) {
         return """
-                {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"7","limits":{"memory_mb":128,"sockets":256},
+                {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"7",
+                 "limits":{"memory_mb":128,"sockets":256},
                  "settings":{"zones":["here"],"limits":{"attemptsCap":%d,"cancelling":true},
                   "rules":{"drainGraceUs":1000000},"classes":[%s]}}
                 """.formatted(site.discovery.endpoint(), attempts, String.join(",", classes));
