Follow the server list ahead of the rehearsal, so that a node serves by what discovery says

Suspected cause: Node.start opened the watch and the listener at the same time, so that a node went by the list it was configured with until discovery's first answer was read by cold code. The watch is now opened before the rehearsal. Ruled out: backoff after a broken watch and refused files, which the logs would show.

The test opens the watch ahead of the listener and fails to compile without this.

--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -71,6 +71,7 @@
     private final Counters counters = new Counters();
     private final Cordons cordons;
     private final ControlServer control;
+    private boolean watching;
     private boolean serves;
     private long endsAtUs = Long.MAX_VALUE;
     private final ServerPool pool;
@@ -185,6 +186,8 @@
             awaitListening("control " + config.operators().control(), control);
             Log.line("operators at " + control.channel().localAddress());
         }
+        // Ahead of the rehearsal, which takes longer than discovery to answer.
+        node.watch();
         long rehearsed = Rehearsal.play(config, loop);
         if (rehearsed < Rehearsal.REQUESTS) {
             Log.line("rehearsal cut short after " + rehearsed + " of " + Rehearsal.REQUESTS + " requests");
@@ -219,19 +222,31 @@
         return control == null ? null : control.listen(config.operators().control());
     }
 
-    /** Begins to serve; the future is done once clients can connect. */
-    ChannelFuture start() {
-        return start(null);
-    }
-
-    ChannelFuture start(ServerSocketChannel inherited) {
+    /**
+     * Begins to follow the list, ahead of clients: the one that a node starts with may be old, and the first
+     * requests would go to servers that drain or are gone.
+     */
+    void watch() {
         loop.execute(() -> {
+            if (watching) {
+                return;
+            }
+            watching = true;
             heedCordons();
             list(config.known(), ListKind.CACHED);
             if (config.discovery() != null && !config.settings().listOnRequest) {
                 discovery.keepSubscribed();
             }
         });
+    }
+
+    /** Begins to serve; the future is done once clients can connect. */
+    ChannelFuture start() {
+        return start(null);
+    }
+
+    ChannelFuture start(ServerSocketChannel inherited) {
+        watch();
         housekeeping = loop.scheduleAtFixedRate(() -> {
             pool.closeOld();
             clients.closeOld();
--- a/src/test/java/kitemux/node/NodeTest.java
+++ b/src/test/java/kitemux/node/NodeTest.java
@@ -123,4 +123,25 @@
             }
         }
     }
+
+    /** Guards a day on which nodes that had just started sent to servers that drained while they did. */
+    @Test
+    void aNodeHearsOfDrainsBeforeItServesClients() throws Exception {
+        try (FarServer one = FarServer.serving("one"); FarServer two = FarServer.serving("two");
+                Site site = Site.quiet()) {
+            site.operated = true;
+            site.control(Site.list(1, true, "s0=" + one.endpoint() + "=Ready",
+                    "s1=" + two.endpoint() + "=Ready"));
+            site.node.watch();
+            FarServer.next(site.discovery.peers).write(Site.chunk(
+                    Site.list(2, false, "s0=" + one.endpoint() + "=Gone") + "\n"));
+            site.awaitFigure("node_known_app_servers 1");
+            site.begin();
+            for (int i = 0; i < 20; i++) {
+                assertEquals("two", site.ask(Http.page("/api/x", "t" + i, "4000m")).body());
+            }
+            assertTrue(one.requests.isEmpty());
+            assertEquals(1, site.discovery.requests.size(), "one watch");
+        }
+    }
 }
