--- a/src/main/java/kitemux/Balancer.java
+++ b/src/main/java/kitemux/Balancer.java
@@ -203,12 +203,8 @@
     record RequestClass(String name, long aimUs, double aimStretch, long deadlineUs, double worth,
             double lateWorth, Repeat repeat, Group group, long windowUs, boolean stream) { }
 
-    /**
-     * A tenant.
-     *
-     * @param quotaPerS requests a second, over all nodes, inside its share; 0 means without limit
-     */
-    record Tenant(String name, double quotaPerS) { }
+    /** A tenant, whose requests are served like all others'. */
+    record Tenant(String name) { }
 
     /** The settings of one node. Fields left alone keep the defaults given here. */
     final class Settings {
@@ -224,8 +220,6 @@
         public List<RequestClass> classes = new ArrayList<>();
         /** Tenants; may be empty. */
         public List<Tenant> tenants = new ArrayList<>();
-        /** Worth of a request beyond its tenant's share, as a part of its class's worth. */
-        public double overShareWorth = 1;
         /** Whether worth counts for each unit of work and not for each request. */
         public boolean worthByWork;
         /** Most attempts for a request. */
--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -102,10 +102,6 @@
     private static final double LADEN_BY = 1.5;
     /** Shortest aims that what a server holds may take to be answered: at one, servers ran dry at times. */
     private static final double HELD_AT = 1.5;
-    /** Part of the limits for requests beyond their tenant's share. */
-    private static final double OVER_SHARE_PART = 0.5;
-    /** A tenant may use up a second's share at once, and so many requests: they come in bunches. */
-    private static final double LEAST_SHARE_BURST = 8;
     /** First wait before a failed list call is made again; doubled each time. */
     private static final long LIST_BACKOFF_US = 250_000;
 
@@ -156,8 +152,6 @@
     private long lastServedAt;
     private double servedGapUs = FIRST_GAP_US;
     private final List<Usual> usual = new ArrayList<>();
-    private double[] shareLeft = {};
-    private long[] shareSeenAt = {};
     private int inFlight;
     private double limits;
     private double heldByAll;
@@ -258,7 +252,6 @@
         /** Fixes the draws by the request's key; 0 without one. */
         final long keySeed;
         double value;
-        boolean overShare;
         boolean late;
         int attempts;
         int outstanding;
@@ -315,8 +308,6 @@
         sweepUs = Math.max(MIN_SWEEP_US, 2 * set.tickUs);
         leastAimUs = set.classes.stream().filter(c -> c.worth() > 0)
                 .mapToLong(RequestClass::aimUs).min().orElse(0);
-        shareLeft = Arrays.copyOf(shareLeft, set.tenants.size());
-        shareSeenAt = Arrays.copyOf(shareSeenAt, set.tenants.size());
         forEachClass(usual, Usual::new);
         byId.values().forEach(server -> forEachClass(server.byClass, Health::new));
     }
@@ -555,7 +546,7 @@
         }
         Call call = new Call(request, set, now, usual.get(request.classIndex()));
         calls.put(request.id(), call);
-        call.value = value(call);
+        call.value = forItsWork(call.cls.worth(), request.classIndex());
         boolean turnedDown = sparse && random.nextDouble() >= admitted(call);
         // Nobody waits for the same server, or those who do are tried with each answer.
         boolean first = !turnedDown && (waiting.isEmpty() || call.keySeed != 0 && !isLate(call));
@@ -1011,7 +1002,6 @@
         int kept = 0;
         boolean full = false;
         boolean fullForUnsafe = false;
-        boolean fullForOver = false;
         boolean unsorted = false;
         for (int i = 0; i < waiting.size(); i++) {
             Call call = waiting.get(i);
@@ -1032,7 +1022,7 @@
                 continue;
             }
             boolean unsafe = call.cls.repeat() == Repeat.UNSAFE;
-            boolean barred = full || unsafe && fullForUnsafe || call.overShare && fullForOver;
+            boolean barred = full || unsafe && fullForUnsafe;
             Server server = barred ? null : drawForFirstTry(call);
             if (server != null) {
                 call.waiting = false;
@@ -1040,9 +1030,7 @@
             } else {
                 // What has not been sent may go anywhere, but for unsafe requests and ejected servers: if it
                 // finds no server, nor does the next one. With a key it may go to few.
-                fullForOver |= call.overShare;
-                boolean last = !call.overShare && call.attempts == 0
-                        && (call.keySeed == 0 || --keysToTry <= 0);
+                boolean last = call.attempts == 0 && (call.keySeed == 0 || --keysToTry <= 0);
                 fullForUnsafe |= last;
                 full |= last && (!unsafe || call.keySeed != 0);
                 waiting.set(kept++, call);
@@ -1054,27 +1042,7 @@
         }
     }
 
-    /** What a request earns for its work, by which the queue is ordered: its class's worth, less if its
-     * tenant is beyond this node's part of its share, over the usual latency of its class. */
-    private double value(Call call) {
-        double worth = call.cls.worth();
-        int tenant = call.request.tenant();
-        double quota = tenant < 0 ? 0 : set.tenants.get(tenant).quotaPerS() / set.nodes;
-        if (quota > 0) {
-            double most = Math.max(LEAST_SHARE_BURST, quota);
-            double since = shareSeenAt[tenant] == 0 ? 1 : (now - shareSeenAt[tenant]) / 1e6;
-            shareSeenAt[tenant] = now;
-            shareLeft[tenant] = Math.min(most, shareLeft[tenant] + quota * since);
-            if (shareLeft[tenant] >= 1) {
-                shareLeft[tenant]--;
-            } else {
-                worth *= set.overShareWorth;
-                call.overShare = !set.warmKeys;
-            }
-        }
-        return forItsWork(worth, call.request.classIndex());
-    }
-
+    /** What a request earns for its work, by which the queue is ordered: worth over usual latency. */
     private double forItsWork(double worth, int classIndex) {
         return set.worthByWork ? worth : worth / Math.max(1, usual.get(classIndex).latencyUs);
     }
@@ -1150,15 +1118,12 @@
     private boolean isCrowded(Call call, Server server) {
         // The sum guards against a stall: what many nodes may each have at every server is then out at once.
         // Lent by how timely answers are: in a jam it would keep choked servers choked.
-        double ease = sparse ? Math.max(0, call.overShare ? 4 * timely - 3 : 2 * timely - 1) : 0;
+        double ease = sparse ? Math.max(0, 2 * timely - 1) : 0;
         double ahead = sparse ? BURST * rank(call) : 0;
-        // Exception, shares: what is beyond its tenant's share gets a part of each limit, is lent less and
-        // raises none, so that bursts inside a share find room. Not where keys are warm: limits say less.
-        double part = call.overShare ? OVER_SHARE_PART : 1;
-        boolean atLimit = server.inFlight + 1 > part * server.limit
+        boolean atLimit = server.inFlight + 1 > server.limit
                 && (server.inFlight > ease * ahead || now < server.restUntil - ease * ahead * server.restUs);
-        boolean crowded = atLimit || inFlight > ease * (1 + ahead) && inFlight + 1 > part * limits;
-        server.wantedAt = crowded && !call.overShare ? now : server.wantedAt;
+        boolean crowded = atLimit || inFlight > ease * (1 + ahead) && inFlight + 1 > limits;
+        server.wantedAt = crowded ? now : server.wantedAt;
         return crowded;
     }
 
--- a/src/main/java/kitemux/adapter/BootInfo.java
+++ b/src/main/java/kitemux/adapter/BootInfo.java
@@ -69,9 +69,8 @@
         int tenants = (int) whole("realms.count", 0);
         for (int i = 0; i < tenants; i++) {
             String prefix = "realms." + i + ".";
-            set.tenants.add(new Tenant(need(prefix + "name"), decimal(prefix + "quotaPerS", 0)));
+            set.tenants.add(new Tenant(need(prefix + "name")));
         }
-        set.overShareWorth = decimal("overShareWorth", set.overShareWorth);
         set.worthByWork = "work".equals(values.get("countedBy"));
         set.maxAttempts = values.containsKey("limits.attemptsCap")
                 ? (int) Math.min(Integer.MAX_VALUE, positive("limits.attemptsCap")) : set.maxAttempts;
