--- a/src/main/java/kitemux/node/Discovery.java
+++ b/src/main/java/kitemux/node/Discovery.java
@@ -144,6 +144,7 @@
         endCurrent();
         Watch watch = new Watch();
         current = watch;
+        Log.line("discovery: watch at " + address + " after " + rev);
         ChannelFuture opening = dialer.connect(address);
         watch.channel = opening.channel();
         watch.expectMore();
@@ -241,6 +242,9 @@
                 return;
             }
             if (list != null) {
+                if (!told || !list.hosts().isEmpty()) {
+                    Log.line("discovery: " + (told ? "" : "first word, ") + list.summary());
+                }
                 told = true;
                 backoffMs = BACKOFF_MS;
                 rev = list.rev();
--- a/src/main/java/kitemux/node/HostList.java
+++ b/src/main/java/kitemux/node/HostList.java
@@ -42,6 +42,14 @@
         return new HostList(list.path("rev").asLong(), list.path("all").asBoolean(), hosts);
     }
 
+    /** In one line, for the log. */
+    String summary() {
+        long ready = hosts.stream().filter(host -> host.entry().state() == ServerState.READY).count();
+        long gone = hosts.stream().filter(host -> host.entry().state() == ServerState.GONE).count();
+        return "list " + rev + (all ? " whole: " : " changes: ") + ready + " ready, "
+                + (hosts.size() - ready - gone) + " draining, " + gone + " gone";
+    }
+
     private static Host host(JsonNode target, List<String> zones, String at) throws ConfigException {
         String id = target.path("uid").asText();
         if (id.isEmpty()) {
