--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -733,7 +733,7 @@
         countReady();
     }
 
-    /** Its last answers stand: until its failures among them are made up for, the next one ejects it again. */
+    /** Its last answers stand: until its failures among them are made up for, the next ejects it again. */
     private static void restore(Health health) {
         health.ejected = false;
         health.trialsWon = 0;
@@ -759,8 +759,9 @@
 
     /** An ejected server that is due for a trial with this request, or null. Exception, last resort: where
      * the others are full, one that still answers, if with errors, gets what is safe to repeat, one at a time
-     * and not as the last attempt. Errors cost no work, so the rest of what it does is won; but one that fails
-     * at once is always free, so that the budget for failed trials bounds this too: it drew all requests. */
+     * and not as the last attempt. Errors cost no work, so the rest of what it does is won; but one that
+     * fails at once is always free and drew all requests, so the budget for failed trials bounds this too.
+     */
     private Server trial(Call call, boolean full) {
         for (Server server : trialsLeft < 1 ? List.<Server>of() : ejected) {
             Health ofClass = server.byClass.get(call.request.classIndex());
--- a/src/test/java/kitemux/BlackHoleTest.java
+++ b/src/test/java/kitemux/BlackHoleTest.java
@@ -17,8 +17,9 @@
 import kitemux.Node.Sent;
 
 /**
- * A server that fails at once is always free, so that a node whose other servers are at their limits is drawn to
- * it: it may get its trials and no more. Servers of one core take what they are sent in turn; the first fails.
+ * A server that fails at once is always free, so that a node whose other servers are at their limits is drawn
+ * to it: it may get its trials and no more. Servers of one core take what they are sent in turn; the first
+ * fails.
  */
 class BlackHoleTest {
     private static final int SERVERS = 6;
@@ -75,17 +76,18 @@
         long latency = node.now - ended.sent.atUs();
         failures += ended.result == Result.ERROR ? 1 : 0;
         servedInTime += ended.result == Result.OK && latency < 200_000 ? 1 : 0;
-        node.balancer.onOutcome(node.now, new Outcome(ended.sent.request(), ended.sent.attempt(), ended.result,
-                latency, ended.result == Result.OK, null));
+        node.balancer.onOutcome(node.now, new Outcome(ended.sent.request(), ended.sent.attempt(),
+                ended.result, latency, ended.result == Result.OK, null));
     }
 
     /**
-     * The others hold all that they may, as is asked for half as much again as they can do. What fails is bounded
-     * by the trials' share, a twentieth of first tries, and the answers by which it is found out time and again;
-     * what it gets in all, by what a server in good health gets.
+     * The others hold all that they may, as is asked for half as much again as they can do. What fails is
+     * bounded by the trials' share, a twentieth of first tries, and the answers by which it is found out time
+     * and again; what it gets in all, by what a server in good health gets.
      */
     @ParameterizedTest
-    @CsvSource({"1, 11", "1, 12", "0.9, 11", "0.7, 11", "0.7, 12", "0.5, 11", "0.5, 12", "0.5, 13", "0.3, 11"})
+    @CsvSource({"1, 11", "1, 12", "0.9, 11", "0.7, 11", "0.7, 12", "0.5, 11", "0.5, 12", "0.5, 13",
+            "0.3, 11"})
     void aServerThatFailsAtOnceDrawsNoMoreThanItsTrialsWhateverTheOthersHold(double failing, long seed) {
         chance = new SplittableRandom(seed);
         play(10 * SECOND, 5_000, 0);
