Hear the old discovery until the new one has spoken, and unlearn nothing on a move

Two ways lead there, both found by reading and shown by tests that fail on the code before: a watch that the new address takes and never answers was borne for 7 s, while what is told counts 4 s after the signal, and the old watch had been ended at the move; and a file read ahead of its end was turned down for good, so that the node stayed with an address that closes. Ruled out: keys that the next file lacks (all files of 66 signals were taken), a version that the new address does not know (it answers with that version and no entries). Which of the two it was is not known; the log now tells.

Change: the old watch is heard until the new one has caught up; a first word is due within 1.5 s and a beat within 4.5 s (7 s); a list older than what is known is not taken, and an agent that lags for 6 s is asked for all; a file that cannot be taken is read again for 0.2 s before it counts as turned down. Not taken: reading the file again for longer, which could take the next file ahead of its signal.

--- a/src/main/java/kitemux/node/Discovery.java
+++ b/src/main/java/kitemux/node/Discovery.java
@@ -36,6 +36,10 @@
  * The watch on discovery's list. When it breaks it says so. Asking again is the module's word where the list
  * must be asked for; where changes are pushed, as the settings call it, the watch is what they come by and
  * is kept open here.
+ *
+ * <p>Versions only grow. Where discovery has moved, the watch at the old address goes on beside the new one
+ * until that has caught up, and an agent that lags behind what is known is heard only once it is past it:
+ * else a server that the node was told to leave alone would be used again.
  */
 final class Discovery {
     /** What the watch tells. */
@@ -45,8 +49,21 @@
         void failed(String reason);
     }
 
-    /** Discovery writes every 2 s. Three beats missed: a watch that is silent for so long is broken. */
-    static final long MOST_SILENCE_US = 7_000_000;
+    /**
+     * What is borne of a watch.
+     *
+     * @param firstWordUs its silence until it says its first word
+     * @param silenceUs its silence from then on
+     * @param lagUs that it tells of less than is known; from then on what it has is all that is to be had
+     */
+    record Patience(long firstWordUs, long silenceUs, long lagUs) {
+        /**
+         * Discovery answers at once and writes every 2 s. What it has to tell counts as told 6 s later, 4 s
+         * after a move: by then a watch has to be found silent, and another one opened and heard.
+         */
+        static final Patience USUAL = new Patience(1_500_000, 4_500_000, 6_000_000);
+    }
+
     private static final int CONNECT_TIMEOUT_MS = 2_000;
     /** First wait before a kept watch is opened again, doubled with each failure, and the longest. */
     private static final long BACKOFF_MS = 50;
@@ -60,7 +77,7 @@
 
     private final EventLoop loop;
     private final List<String> zones;
-    private final long mostSilenceUs;
+    private final Patience patience;
     private final Listener listener;
     private final Bootstrap dialer;
     private final SplittableRandom random;
@@ -69,13 +86,15 @@
     private InetSocketAddress address;
     private long rev;
     private Watch current;
+    /** The watch at the address before the last move, until the current one has caught up; null if none. */
+    private Watch former;
     private boolean kept;
     private long backoffMs = BACKOFF_MS;
     private Future<?> again;
 
-    Discovery(EventLoop loop, NodeConfig config, long mostSilenceUs, Listener listener) {
+    Discovery(EventLoop loop, NodeConfig config, Patience patience, Listener listener) {
         this.loop = loop;
-        this.mostSilenceUs = mostSilenceUs;
+        this.patience = patience;
         this.listener = listener;
         address = config.discovery();
         zones = config.settings().zones;
@@ -104,6 +123,13 @@
         boolean moved = !to.equals(address);
         address = to;
         if (moved && (kept || current != null)) {
+            // Of two moves in a row, the watch that has spoken goes on; the one amid the two never has.
+            if (current != null && current.told) {
+                endFormer();
+                former = current;
+                current = null;
+            }
+            backoffMs = BACKOFF_MS;
             subscribe();
         }
     }
@@ -112,6 +138,14 @@
     void close() {
         kept = false;
         endCurrent();
+        endFormer();
+    }
+
+    private void endFormer() {
+        if (former != null) {
+            former.end();
+            former = null;
+        }
     }
 
     private void endCurrent() {
@@ -147,7 +181,7 @@
         Log.line("discovery: watch at " + address + " after " + rev);
         ChannelFuture opening = dialer.connect(address);
         watch.channel = opening.channel();
-        watch.expectMore();
+        watch.expectMore(patience.firstWordUs);
         opening.addListener(done -> {
             if (!done.isSuccess()) {
                 watch.broken("no connection: " + done.cause().getMessage());
@@ -167,12 +201,14 @@
         private Future<?> silence;
         private boolean over;
         private boolean told;
+        /** Since when it tells less than is known; 0 while it does not. */
+        private long lagsSinceNanos;
 
-        private void expectMore() {
+        private void expectMore(long withinUs) {
             if (silence != null) {
                 silence.cancel(false);
             }
-            silence = loop.schedule(() -> broken("silent"), mostSilenceUs, TimeUnit.MICROSECONDS);
+            silence = loop.schedule(() -> broken("silent"), withinUs, TimeUnit.MICROSECONDS);
         }
 
         /** Ends without a word. */
@@ -183,8 +219,14 @@
         }
 
         private void broken(String reason) {
-            if (!over) {
-                end();
+            if (over) {
+                return;
+            }
+            end();
+            if (this == former) {
+                // As it should once discovery has moved.
+                former = null;
+            } else {
                 current = null;
                 listener.failed(reason);
                 if (kept) {
@@ -198,7 +240,9 @@
             if (over) {
                 return;
             }
-            expectMore();
+            if (told) {
+                expectMore(patience.silenceUs);
+            }
             if (message.decoderResult().isFailure()) {
                 broken("answer cannot be read");
             } else if (message instanceof HttpResponse response && response.status().code() != 200) {
@@ -229,26 +273,46 @@
         }
 
         private void readLine(byte[] whole) {
-            HostList list;
             try {
-                if (new String(whole, StandardCharsets.US_ASCII).isBlank()) {
+                if (!new String(whole, StandardCharsets.US_ASCII).isBlank()) {
+                    heed(HostList.decode(json.readTree(whole), zones, ""));
+                } else if (!told) {
                     // A beat. As the first word it says that nothing has changed: the call has its answer.
-                    list = told ? null : new HostList(rev, false, List.of());
+                    heed(new HostList(rev, false, List.of()));
                 } else {
-                    list = HostList.decode(json.readTree(whole), zones, "");
+                    endLag();
                 }
             } catch (IOException | ConfigException e) {
                 broken("bad line: " + e.getMessage());
-                return;
             }
-            if (list != null) {
-                if (!told || !list.hosts().isEmpty()) {
-                    Log.line("discovery: " + (told ? "" : "first word, ") + list.summary());
-                }
+        }
+
+        private void heed(HostList list) {
+            if (!told || !list.hosts().isEmpty()) {
+                Log.line("discovery: " + (told ? "" : "first word, ") + list.summary());
+            }
+            if (!told) {
                 told = true;
-                backoffMs = BACKOFF_MS;
-                rev = list.rev();
-                listener.listed(list);
+                expectMore(patience.silenceUs);
+            }
+            if (list.rev() < rev) {
+                lagsSinceNanos = lagsSinceNanos == 0 ? System.nanoTime() : lagsSinceNanos;
+                endLag();
+                return;
+            }
+            lagsSinceNanos = 0;
+            backoffMs = BACKOFF_MS;
+            rev = list.rev();
+            if (this == current) {
+                endFormer();
+            }
+            listener.listed(list);
+        }
+
+        private void endLag() {
+            if (lagsSinceNanos != 0 && System.nanoTime() - lagsSinceNanos > patience.lagUs * 1_000) {
+                rev = 0;
+                broken("behind for too long, asking for all");
             }
         }
 
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Function;
 
 import io.netty.buffer.ByteBuf;
@@ -51,6 +52,9 @@
     private static final byte[] NO_BODY = {};
     private static final long PROBE_US = 1_000_000;
     private static final long HOUSEKEEPING_MS = 250;
+    /** A file that cannot be taken is looked at again for so long, this often: figures may be 0.5 s late. */
+    private static final long SETTLES_MS = 200;
+    private static final long LOOK_MS = 20;
     /** By then any other process of this node has looked for cordons, also if it was held up for a while. */
     static final long HEEDED_MS = 2 * HOUSEKEEPING_MS;
     /** A server that neither takes nor gives anything for so long, amid something that flows, is gone. */
@@ -149,7 +153,7 @@
                         });
                     }
                 });
-        discovery = new Discovery(loop, config, Discovery.MOST_SILENCE_US, new Discovery.Listener() {
+        discovery = new Discovery(loop, config, Discovery.Patience.USUAL, new Discovery.Listener() {
             @Override
             public void listed(HostList list) {
                 list(list, list.all() ? ListKind.FULL : ListKind.CHANGES);
@@ -300,7 +304,7 @@
      */
     synchronized void reload(Map<String, String> env) {
         try {
-            NodeConfig read = config.again(env);
+            NodeConfig read = readSettled(env);
             loop.execute(() -> retune(read));
         } catch (ConfigException e) {
             Log.line("kitemux: reload: " + e.getMessage());
@@ -308,6 +312,21 @@
         }
     }
 
+    /** The file once it can be taken: the signal may have come ahead of its end. */
+    private NodeConfig readSettled(Map<String, String> env) throws ConfigException {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SETTLES_MS);
+        while (true) {
+            try {
+                return config.again(env);
+            } catch (ConfigException e) {
+                if (System.nanoTime() > until) {
+                    throw e;
+                }
+            }
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(LOOK_MS));
+        }
+    }
+
     private void retune(NodeConfig read) {
         Log.line("configuration taken, discovery is at " + read.discovery());
         counters.loaded();
--- a/src/test/java/kitemux/node/DiscoveryTest.java
+++ b/src/test/java/kitemux/node/DiscoveryTest.java
@@ -14,12 +14,14 @@
 /** The watch on the list. */
 class DiscoveryTest {
     private static final String KNOWN = Site.list(41, true);
+    /** As short as a slow machine allows. */
+    private static final Discovery.Patience BRIEF = new Discovery.Patience(100_000, 20_000_000, 100_000);
     private static final String ENTRY = "s0=10.0.0.1:80=Ready";
 
     /** A watch alone; what it tells comes as a line. */
-    private static Discovery watch(Site site, long mostSilenceUs, BlockingQueue<String> told)
+    private static Discovery watch(Site site, Discovery.Patience patience, BlockingQueue<String> told)
             throws Exception {
-        Discovery discovery = new Discovery(site.loop, site.config(KNOWN), mostSilenceUs,
+        Discovery discovery = new Discovery(site.loop, site.config(KNOWN), patience,
                 new Discovery.Listener() {
                     @Override
                     public void listed(HostList list) {
@@ -39,7 +41,7 @@
     void listsComeInPiecesAndTheNextWatchGoesOnFromTheLast() throws Exception {
         try (Site site = Site.quiet()) {
             BlockingQueue<String> told = new LinkedBlockingQueue<>();
-            Discovery discovery = watch(site, Discovery.MOST_SILENCE_US, told);
+            Discovery discovery = watch(site, Discovery.Patience.USUAL, told);
             assertEquals("/discovery/hosts?watch=1&after=41", FarServer.next(site.discovery.requests).path());
             FarServer.Peer peer = FarServer.next(site.discovery.peers);
             String line = Site.list(43, true, ENTRY, "s1=10.0.0.2:80=Terminating");
@@ -58,7 +60,7 @@
     void aBeatAsTheFirstWordSaysThatNothingHasChanged() throws Exception {
         try (Site site = Site.quiet()) {
             BlockingQueue<String> told = new LinkedBlockingQueue<>();
-            watch(site, Discovery.MOST_SILENCE_US, told);
+            watch(site, Discovery.Patience.USUAL, told);
             FarServer.next(site.discovery.peers).write(Site.chunk("\n") + Site.chunk("\n")
                     + Site.chunk(Site.list(42, false, ENTRY) + "\n"));
             assertEquals("41 changes 0", FarServer.next(told));
@@ -76,7 +78,7 @@
     void aBadLineBreaksTheWatch(String line) throws Exception {
         try (Site site = Site.quiet()) {
             BlockingQueue<String> told = new LinkedBlockingQueue<>();
-            watch(site, Discovery.MOST_SILENCE_US, told);
+            watch(site, Discovery.Patience.USUAL, told);
             FarServer.next(site.discovery.peers).write(Site.chunk(line + "\n"));
             assertEquals("failed", FarServer.next(told));
             FarServer.next(site.discovery.ended);
@@ -90,7 +92,7 @@
                 Site.watchHead().replace("OK\r\n", "OK\r\nno colon here\r\n")
                 + Site.chunk(Site.list(42, false, ENTRY) + "\n")));
                 Site site = new Site(discovery)) {
-            watch(site, Discovery.MOST_SILENCE_US, told);
+            watch(site, Discovery.Patience.USUAL, told);
             assertEquals("failed", FarServer.next(told));
         }
     }
@@ -99,7 +101,7 @@
     void aSilentWatchIsBroken() throws Exception {
         try (Site site = Site.quiet()) {
             BlockingQueue<String> told = new LinkedBlockingQueue<>();
-            watch(site, 100_000, told);
+            watch(site, BRIEF, told);
             assertEquals("failed", FarServer.next(told));
             assertTrue(told.isEmpty());
         }
--- a/src/test/java/kitemux/node/ReloadTest.java
+++ b/src/test/java/kitemux/node/ReloadTest.java
@@ -130,6 +130,26 @@
         }
     }
 
+    /** The signal comes ahead of the file's end: it is taken once, and counts as no broken one. */
+    @Test
+    void aFileThatIsStillBeingWrittenIsTakenOnceItIsWhole() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
+            String text = file(site, 4, PAGE, ORDER);
+            start(site, text, server);
+            write(text.substring(0, text.length() / 2));
+            Thread signal = new Thread(() -> site.node.reload(env));
+            signal.start();
+            // Until it has read what is there and waits for more, or has given up.
+            while (signal.getState() != Thread.State.TIMED_WAITING && signal.isAlive()) {
+                Thread.onSpinWait();
+            }
+            write(text);
+            signal.join();
+            site.awaitFigure("node_loads 1");
+            site.awaitFigure("node_load_errors 0");
+        }
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
         "(?s).* | `` | PROXY_CONFIG is empty",
