Sum a list up without streams, and bound a test's wait

Need: the line that the log has of each list was built by lambdas, which a starting node had to link before its first list; and a test's loop had no deadline, so that it ran for ever on the code before the change that it tests. Change: a plain loop; a deadline of 20 s.

--- a/src/main/java/kitemux/node/HostList.java
+++ b/src/main/java/kitemux/node/HostList.java
@@ -44,10 +44,13 @@
 
     /** In one line, for the log. */
     String summary() {
-        long ready = hosts.stream().filter(host -> host.entry().state() == ServerState.READY).count();
-        long gone = hosts.stream().filter(host -> host.entry().state() == ServerState.GONE).count();
-        return "list " + rev + (all ? " whole: " : " changes: ") + ready + " ready, "
-                + (hosts.size() - ready - gone) + " draining, " + gone + " gone";
+        int[] counts = new int[ServerState.values().length];
+        for (Host host : hosts) {
+            counts[host.entry().state().ordinal()]++;
+        }
+        return "list " + rev + (all ? " whole: " : " changes: ") + counts[ServerState.READY.ordinal()]
+                + " ready, " + counts[ServerState.DRAINING.ordinal()] + " draining, "
+                + counts[ServerState.GONE.ordinal()] + " gone";
     }
 
     private static Host host(JsonNode target, List<String> zones, String at) throws ConfigException {
--- a/src/test/java/kitemux/node/DiscoveryMoveTest.java
+++ b/src/test/java/kitemux/node/DiscoveryMoveTest.java
@@ -1,6 +1,7 @@
 package kitemux.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -8,6 +9,7 @@
 import java.net.Socket;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -164,7 +166,9 @@
         FarServer.Peer after = FarServer.next(next.peers);
         begin(after, 3, true);
         // Its beats go on until it is given up.
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
         while (next.ended.isEmpty()) {
+            assertTrue(System.nanoTime() < end, "the watch on an agent that lags is still open");
             after.write(Site.chunk("\n"));
             Thread.onSpinWait();
         }
