--- a/src/test/java/kitemux/BlackHoleTest.java
+++ b/src/test/java/kitemux/BlackHoleTest.java
@@ -85,8 +85,8 @@
 
     /**
      * The others hold all that they may, as is asked for half as much again as they can do. What is safe may
-     * go to the server that fails, as a last resort; what is unsafe is lost there, and goes to it only until it
-     * is found out again: one in forty of them at the most.
+     * go to the server that fails, as a last resort; what is unsafe is lost there, and goes to it only until
+     * it is found out again: one in forty of them at the most.
      */
     @ParameterizedTest
     @CsvSource({"1, 11", "1, 12", "0.9, 11", "0.7, 11", "0.7, 12", "0.5, 11", "0.5, 12", "0.5, 13"})
