Fold back what the withdrawn budget for last resorts had left behind

Need: read again, trial() still carried the budget's switch for last resorts, which had turned off, and the test node a tenant that no test names any more. Change: trials pay where they are drawn, as before; the overload with a tenant is gone. Decisions are the same.

--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -761,7 +761,7 @@
      * the others are full, one that still answers, if with errors, gets what is safe to repeat, one at a time
      * and not as the last attempt. Errors cost no work, so the rest of what it does is won. */
     private Server trial(Call call, boolean full) {
-        for (Server server : trialsLeft < 1 && !full ? List.<Server>of() : ejected) {
+        for (Server server : ejected) {
             Health ofClass = server.byClass.get(call.request.classIndex());
             // Unsafe requests are risked only where no other could tell: for a class of their own.
             boolean due = full ? server.answers && now >= server.restUntil
@@ -772,7 +772,6 @@
                     : server.overall.ejected && now >= server.overall.trialAt
                             || ofClass.ejected && now >= ofClass.trialAt;
             if (due && server.inFlight == 0 && isAllowed(call, server)) {
-                trialsLeft -= full ? 0 : 1;
                 return server;
             }
         }
@@ -806,8 +805,9 @@
 
     /** Two draws by weight; the one with fewer own requests in flight, ties at random. */
     private Server drawForFirstTry(Call call) {
-        Server due = trial(call, false);
+        Server due = ejected.isEmpty() || trialsLeft < 1 ? null : trial(call, false);
         if (due != null) {
+            trialsLeft--;
             return due;
         }
         Server server = drawTwo(call, nearby);
--- a/src/test/java/kitemux/Node.java
+++ b/src/test/java/kitemux/Node.java
@@ -93,12 +93,8 @@
     }
 
     long ask(int classIndex, long leftUs) {
-        return ask(classIndex, 0, leftUs);
-    }
-
-    long ask(int classIndex, int tenant, long leftUs) {
         long id = nextId++;
-        balancer.onRequest(now, new Request(id, classIndex, tenant, leftUs, 0, false, null));
+        balancer.onRequest(now, new Request(id, classIndex, 0, leftUs, 0, false, null));
         return id;
     }
 
