Play whole fleets in simulated time, before a referee

Need: what is queued is proved by faults between several processes, over a thousand seeds. Change: module rig, in packages whose arrows run one way (ArchUnit): time (a seeded simulator, one stream of chance for each actor by name), scenario (TOML by Jackson's module, all faults told at once with key, value and what is allowed), history (JSON lines, summed up), world (app servers with slots, queue, pauses, cold start, keys and reports; clients, front, list, links, and nodes that host the decision module through Balancer), trouble (13 small classes), check (the platform's five rules and eight generic checkers), baseline (six policies to compare with), play (runs, many seeds, shrinking, paired comparison). Libraries: jackson-dataformat-toml, HdrHistogram, ArchUnit as what the field uses.

--- /dev/null
+++ b/rig/src/main/java/kitemux/rig/check/Violation.java
@@ -0,0 +1,22 @@
+package kitemux.rig.check;
+
+import java.util.List;
+
+import kitemux.rig.history.Event;
+import kitemux.rig.history.History;
+
+/**
+ * Something that must not have happened.
+ *
+ * @param rule the name of the checker that found it
+ * @param events what led to it, in order
+ */
+public record Violation(String rule, long atUs, String what, List<Event> events) {
+
+    @Override
+    public String toString() {
+        StringBuilder text = new StringBuilder(rule + " at " + atUs + " us: " + what);
+        events.forEach(event -> text.append("\n    ").append(History.line(event).strip()));
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/kitemux/rig/history/History.java
@@ -0,0 +1,131 @@
+package kitemux.rig.history;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+
+import kitemux.rig.history.Event.Kind;
+import kitemux.rig.time.Timeline;
+
+/**
+ * What happened in one run, a line of JSON each, passed to the referee as it happens. Without a file to go to it is
+ * only passed on and summed up, so that a thousand seeds need no disk.
+ */
+public final class History {
+    /** Most bytes of a history; a run that has more fails, as a cut history proves nothing. */
+    public static final long MOST_BYTES = 1L << 30;
+
+    /** Whoever reads along. */
+    public interface Reader {
+        void read(Event event);
+    }
+
+    private static final JsonFactory JSON = new JsonFactory();
+
+    private final Timeline time;
+    private final List<? extends Reader> readers;
+    private final OutputStream file;
+    private final MessageDigest digest;
+    private long bytes;
+    private long events;
+
+    /**
+     * @param file where the lines go, or null; closing it is the caller's
+     * @param summed whether {@link #digest} is wanted, which takes as long as writing the lines
+     */
+    public History(Timeline time, List<? extends Reader> readers, OutputStream file, boolean summed) {
+        this.time = time;
+        this.readers = readers;
+        this.file = file;
+        try {
+            digest = summed ? MessageDigest.getInstance("SHA-256") : null;
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java has SHA-256", e);
+        }
+    }
+
+    /** Writes down that something happened now: names and values of its fields in turn. */
+    public void add(String process, Kind kind, Object... fields) {
+        Map<String, Object> named = new LinkedHashMap<>();
+        for (int i = 0; i < fields.length; i += 2) {
+            named.put((String) fields[i], fields[i + 1]);
+        }
+        Event event = new Event(time.nowUs(), process, kind, named);
+        events++;
+        if (file != null || digest != null) {
+            write(line(event).getBytes(StandardCharsets.UTF_8));
+        }
+        for (Reader reader : readers) {
+            reader.read(event);
+        }
+    }
+
+    private void write(byte[] line) {
+        bytes += line.length;
+        if (bytes > MOST_BYTES) {
+            throw new IllegalStateException("the history has grown over " + MOST_BYTES + " bytes");
+        }
+        if (digest != null) {
+            digest.update(line);
+        }
+        try {
+            if (file != null) {
+                file.write(line);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException("history", e);
+        }
+    }
+
+    /** The event as it stands in a history, its end of line included. */
+    public static String line(Event event) {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator json = JSON.createGenerator(text)) {
+            json.writeStartObject();
+            json.writeNumberField("us", event.atUs());
+            json.writeStringField("by", event.process());
+            json.writeStringField("what", event.kind().name());
+            for (Map.Entry<String, Object> field : event.fields().entrySet()) {
+                json.writeFieldName(field.getKey());
+                Object value = field.getValue();
+                if (value instanceof Boolean yes) {
+                    json.writeBoolean(yes);
+                } else if (value instanceof Double decimal) {
+                    json.writeNumber(decimal);
+                } else if (value instanceof Number whole) {
+                    json.writeNumber(whole.longValue());
+                } else {
+                    json.writeString(String.valueOf(value));
+                }
+            }
+            json.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException("writing to memory", e);
+        }
+        return text.append('\n').toString();
+    }
+
+    public long events() {
+        return events;
+    }
+
+    /** The sum over all lines so far: equal for two runs that went the same way to the byte. */
+    public String digest() {
+        try {
+            return HexFormat.of().formatHex(((MessageDigest) digest.clone()).digest());
+        } catch (CloneNotSupportedException e) {
+            throw new IllegalStateException("the JDK's SHA-256 can be cloned", e);
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/kitemux/rig/scenario/Scenario.java
@@ -0,0 +1,92 @@
+package kitemux.rig.scenario;
+
+import java.util.List;
+
+import kitemux.Balancer.Repeat;
+
+/**
+ * All that one run is made of, but for its seed. Lengths of time are microseconds; shares lie between 0 and 1. What
+ * each figure does stands in {@code docs/model.md}.
+ */
+public record Scenario(String name, long lengthUs, Fleet fleet, Load load, List<RequestClass> classes, Clients clients,
+        Net net, ServerList list, ServerKind server, Rules rules, Prices prices, List<Trouble> troubles) {
+
+    /** How many there are of each, and where. */
+    public record Fleet(int nodes, int servers, List<String> zones, long readyAfterUs) { }
+
+    /**
+     * What clients ask for.
+     *
+     * @param perSecond first tries of all clients together
+     * @param zoneSkew by how much the busiest zone has more than the mean, and the quietest less
+     * @param keys things that requests are about; 0 for none
+     * @param keyZipf how uneven these are asked for
+     */
+    public record Load(double perSecond, double zoneSkew, int keys, double keyZipf) { }
+
+    /**
+     * @param share of all first tries
+     * @param workUs mean work on a standard core
+     * @param cv spread of the work over its mean, from request to request
+     * @param attemptNoise the same from attempt to attempt of one request
+     */
+    public record RequestClass(String name, double share, long workUs, double cv, double attemptNoise, long aimUs,
+            long deadlineUs, double worth, Repeat repeat) { }
+
+    /**
+     * @param tries a client makes at most
+     * @param tryShare of its time left that it gives each try but the last
+     * @param leaving share of first tries that the client leaves early
+     */
+    public record Clients(int tries, double tryShare, long backoffUs, double leaving, boolean marksRepeats,
+            long noticeUs) { }
+
+    /** One way from one party to another: mean, and the spread around it as a share. */
+    public record Net(long sameZoneUs, long crossZoneUs, long clientUs, double jitter, long connectTimeoutUs,
+            int handshakeTrips, long handshakeWorkUs, int connectionsPerCore, long idleUs) { }
+
+    /** How late nodes hear of what: starts, planned changes, deaths, and machines that fall silent. */
+    public record ServerList(long addUs, long changeUs, long deathUs, long silenceUs, long spreadUs) { }
+
+    /** What an app server is; see {@code AppServer}. */
+    public record ServerKind(int cores, double speed, double speedCv, int slots, int queue, double thrash,
+            int thrashAt, double coldFrom, long coldUs, long pauseEveryUs, long pauseUs, double pauseGrow,
+            double errorRate, int keysKept, long keysKeptUs, double keyGain, long reportEveryUs, long reportDelayUs,
+            double reportNoise, boolean dropsExpired) { }
+
+    /** What the platform forbids, in figures. */
+    public record Rules(int maxAttempts, boolean secondCopies, boolean cancel, long drainGraceUs, long answerGraceUs,
+            double fallMultiple, long fallUs, long downUs) { }
+
+    /** What G is made of: shares of the whole, the worst window and the worst class, and what comes off. */
+    public record Prices(double whole, double worstWindow, double worstClass, double crossZone, double waste,
+            double lateFail) { }
+
+    /**
+     * Something that goes wrong.
+     *
+     * @param part share of what it strikes
+     * @param size how hard; each kind tells what it is
+     */
+    public record Trouble(String kind, long atUs, long lengthUs, double part, double size, double extra) {
+        public long endUs() {
+            return atUs + lengthUs;
+        }
+    }
+
+    /** Mean work of a request on a standard core. */
+    public double meanWorkUs() {
+        return classes.stream().mapToDouble(c -> c.share() * c.workUs()).sum();
+    }
+
+    /** The same with other troubles. */
+    public Scenario with(List<Trouble> others) {
+        return new Scenario(name, lengthUs, fleet, load, classes, clients, net, list, server, rules, prices,
+                List.copyOf(others));
+    }
+
+    /** The same with another length, fleet and load. */
+    public Scenario with(long length, Fleet other, Load less) {
+        return new Scenario(name, length, other, less, classes, clients, net, list, server, rules, prices, troubles);
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/kitemux/rig/trouble/Partition.java
@@ -0,0 +1,27 @@
+package kitemux.rig.trouble;
+
+import java.util.SplittableRandom;
+
+import kitemux.rig.scenario.Scenario;
+import kitemux.rig.world.World;
+
+/** One zone is cut off from the others, both ways, or with {@code size} 2 only outwards; all in it goes on. */
+final class Partition implements Trouble {
+    @Override
+    public Runnable strike(World world, Scenario.Trouble told, SplittableRandom random) {
+        int zone = random.nextInt(world.zones());
+        cut(world, zone, told.size() == 2, true);
+        return () -> cut(world, zone, told.size() == 2, false);
+    }
+
+    private static void cut(World world, int zone, boolean outwards, boolean off) {
+        for (int other = 0; other < world.zones(); other++) {
+            if (other != zone) {
+                world.links().cut(zone, other, off);
+                if (!outwards) {
+                    world.links().cut(other, zone, off);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/kitemux/rig/trouble/Release.java
@@ -0,0 +1,35 @@
+package kitemux.rig.trouble;
+
+import java.util.List;
+import java.util.SplittableRandom;
+
+import kitemux.rig.scenario.Scenario;
+import kitemux.rig.world.AppServer;
+import kitemux.rig.world.World;
+
+/** A part of the app servers are restarted one after the other: asked to drain, ended, started again cold. */
+final class Release implements Trouble {
+    /** From the word that one drains to its end, beyond what the list and the rule on drains take. */
+    private static final long LINGERS_US = 1_000_000;
+    private static final long DOWN_US = 500_000;
+
+    @Override
+    public Runnable strike(World world, Scenario.Trouble told, SplittableRandom random) {
+        List<AppServer> struck = world.someServers(told.part(), random);
+        long gapUs = told.lengthUs() / struck.size();
+        Scenario scenario = world.scenario();
+        long toldUs = scenario.list().changeUs() + scenario.list().spreadUs() + scenario.rules().drainGraceUs();
+        for (int i = 0; i < struck.size(); i++) {
+            AppServer server = struck.get(i);
+            world.time().after(i * gapUs, () -> {
+                world.list().drains(server.id());
+                world.time().after(toldUs + LINGERS_US, () -> {
+                    server.kill();
+                    world.list().gone(server.id(), true, false);
+                    world.time().after(DOWN_US, () -> world.startServer(server));
+                });
+            });
+        }
+        return () -> { };
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/kitemux/rig/trouble/Troubles.java
@@ -0,0 +1,38 @@
+package kitemux.rig.trouble;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** The troubles there are, by the names that scenario files use. */
+public final class Troubles {
+    private static final Map<String, Trouble> BY_NAME = new TreeMap<>(Map.ofEntries(
+            Map.entry("burst", new Burst()),
+            Map.entry("cordoned", new Cordoned()),
+            Map.entry("crash", new Crash()),
+            Map.entry("fast_errors", new FastErrors()),
+            Map.entry("heavy_tail", new HeavyTail()),
+            Map.entry("herd", new Herd()),
+            Map.entry("list_down", new ListDown()),
+            Map.entry("partition", new Partition()),
+            Map.entry("release", new Release()),
+            Map.entry("rolling_restart", new RollingRestart()),
+            Map.entry("slow", new Slow()),
+            Map.entry("vanish", new Vanish()),
+            Map.entry("zone_lost", new ZoneLost())));
+
+    private Troubles() { }
+
+    public static List<String> names() {
+        return List.copyOf(BY_NAME.keySet());
+    }
+
+    /** The trouble of a name, which has to be one of {@link #names}. */
+    public static Trouble named(String name) {
+        Trouble trouble = BY_NAME.get(name);
+        if (trouble == null) {
+            throw new IllegalArgumentException("no trouble is named " + name);
+        }
+        return trouble;
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/kitemux/rig/world/Front.java
@@ -0,0 +1,33 @@
+package kitemux.rig.world;
+
+import java.util.List;
+import java.util.SplittableRandom;
+
+import kitemux.rig.time.Timeline;
+
+/** The front of each zone: it deals requests among the nodes that it holds for alive. */
+final class Front {
+    private final List<NodePort> nodes;
+    private final Timeline time;
+    private final long noticeUs;
+
+    Front(List<NodePort> nodes, Timeline time, long noticeUs) {
+        this.nodes = nodes;
+        this.time = time;
+        this.noticeUs = noticeUs;
+    }
+
+    /** A node of this zone, or of any where none of it is held for alive; null if none at all is. */
+    NodePort choose(int zone, SplittableRandom random) {
+        List<NodePort> alive = nodes.stream().filter(n -> n.zone() == zone && isHeldForAlive(n)).toList();
+        if (alive.isEmpty()) {
+            alive = nodes.stream().filter(this::isHeldForAlive).toList();
+        }
+        return alive.isEmpty() ? null : alive.get(random.nextInt(alive.size()));
+    }
+
+    /** A death is noticed late. */
+    private boolean isHeldForAlive(NodePort node) {
+        return node.isReady() || node.sinceUs() > 0 && time.nowUs() - node.sinceUs() < noticeUs;
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/kitemux/rig/world/ListModel.java
@@ -0,0 +1,164 @@
+package kitemux.rig.world;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+import kitemux.Balancer.ListKind;
+import kitemux.Balancer.ServerEntry;
+import kitemux.Balancer.ServerState;
+import kitemux.rig.history.Event.Kind;
+import kitemux.rig.history.History;
+import kitemux.rig.scenario.Scenario;
+import kitemux.rig.time.Timeline;
+
+/**
+ * The list of app servers as discovery knows it, and what each node's agent has been sent of it: every change reaches
+ * each node late, by a delay of its own, and in order. While discovery is down nothing does.
+ */
+public final class ListModel {
+    private final Timeline time;
+    private final History history;
+    private final Scenario.ServerList delays;
+    private final Map<String, ServerEntry> known = new LinkedHashMap<>();
+    private final Map<String, Agent> agents = new LinkedHashMap<>();
+    private long version = 1;
+    private boolean down;
+
+    /** Whoever follows the list at one node. */
+    public interface Follower {
+        void listed(long version, ListKind kind, List<ServerEntry> entries);
+    }
+
+    /** What stands on a node's machine between it and discovery. */
+    private final class Agent {
+        private final String node;
+        private final SplittableRandom random;
+        private final Map<String, ServerEntry> told = new LinkedHashMap<>();
+        private final ArrayList<Change> held = new ArrayList<>();
+        private long version;
+        private long lastUs;
+        private Follower follower;
+
+        Agent(String node) {
+            this.node = node;
+            random = time.stream("agent " + node);
+        }
+
+        private void send(Change change) {
+            if (down) {
+                held.add(change);
+                return;
+            }
+            lastUs = Math.max(lastUs, time.nowUs() + random.nextLong(delays.spreadUs() + 1));
+            time.at(lastUs, () -> tell(change));
+        }
+
+        private void tell(Change change) {
+            if (change.entry.state() == ServerState.GONE) {
+                told.remove(change.entry.id());
+            } else {
+                told.put(change.entry.id(), change.entry);
+            }
+            version = change.version;
+            if (follower != null) {
+                follower.listed(version, ListKind.CHANGES, List.of(change.entry));
+            }
+            // What the agent has counts as told, whether or not the node follows.
+            told(change.entry);
+        }
+
+        private void told(ServerEntry entry) {
+            history.add(node, Kind.TOLD, "server", entry.id(), "state", entry.state().name(),
+                    "started", entry.startedAtUs(), "version", version);
+        }
+    }
+
+    private record Change(long version, ServerEntry entry) { }
+
+    public ListModel(Timeline time, History history, Scenario.ServerList delays) {
+        this.time = time;
+        this.history = history;
+        this.delays = delays;
+    }
+
+    /** An app server that is there from the start, known to all. */
+    public void begin(ServerEntry entry) {
+        known.put(entry.id(), entry);
+    }
+
+    /** From now on this follower is told, first all that the agent of its node has. */
+    public void follow(String node, Follower follower) {
+        Agent agent = agents.computeIfAbsent(node, name -> {
+            Agent added = new Agent(name);
+            added.told.putAll(known);
+            added.version = version;
+            return added;
+        });
+        agent.follower = follower;
+        follower.listed(agent.version, ListKind.FULL, List.copyOf(agent.told.values()));
+        agent.told.values().forEach(agent::told);
+    }
+
+    public void unfollow(String node) {
+        agents.get(node).follower = null;
+    }
+
+    /** An app server has started, or started again. */
+    public void started(ServerEntry entry) {
+        change(entry, delays.addUs());
+    }
+
+    /** It was asked to take nothing new. */
+    public void drains(String id) {
+        ServerEntry entry = known.get(id);
+        if (entry != null) {
+            change(inState(entry, ServerState.DRAINING), delays.changeUs());
+        }
+    }
+
+    /** It has ended; how late that shows depends on whether anything says so. */
+    public void gone(String id, boolean planned, boolean silently) {
+        ServerEntry entry = known.get(id);
+        if (entry != null) {
+            change(inState(entry, ServerState.GONE),
+                    planned ? delays.changeUs() : silently ? delays.silenceUs() : delays.deathUs());
+        }
+    }
+
+    private static ServerEntry inState(ServerEntry entry, ServerState state) {
+        return new ServerEntry(entry.id(), entry.zone(), entry.cell(), state, entry.weight(), entry.startedAtUs());
+    }
+
+    private void change(ServerEntry entry, long delayUs) {
+        time.after(delayUs, () -> {
+            ServerEntry before = known.get(entry.id());
+            // Word of a death that comes after word of a new start tells nothing any more.
+            if (before != null && before.startedAtUs() > entry.startedAtUs()) {
+                return;
+            }
+            if (entry.state() == ServerState.GONE) {
+                known.remove(entry.id());
+            } else {
+                known.put(entry.id(), entry);
+            }
+            version++;
+            Change change = new Change(version, entry);
+            agents.values().forEach(agent -> agent.send(change));
+        });
+    }
+
+    /** While it is down agents hear nothing; afterwards they hear all of it. */
+    public void setDown(boolean to) {
+        down = to;
+        if (!down) {
+            for (Agent agent : agents.values()) {
+                List<Change> late = List.copyOf(agent.held);
+                agent.held.clear();
+                late.forEach(agent::send);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/kitemux/rig/world/NodePort.java
@@ -0,0 +1,55 @@
+package kitemux.rig.world;
+
+/** One node as clients, the front and troubles meet it: a simulated one or a process. */
+public interface NodePort {
+
+    /** How a request came back to its client. */
+    enum Answer {
+        OK, REFUSED, FAILED,
+        /** The node had taken it, and the connection broke. */
+        BROKEN,
+        /** The node never had it. */
+        UNREACHABLE
+    }
+
+    /**
+     * One try of a client.
+     *
+     * @param workUs what it takes on a standard core; nodes are not told
+     * @param leftUs how long the client will wait
+     */
+    record Try(long id, int classIndex, String key, double workUs, long leftUs, boolean repeat) { }
+
+    /** Whom to tell of the answer, once. */
+    interface Asker {
+        void answered(Answer answer);
+    }
+
+    String name();
+
+    int zone();
+
+    /** Starts its process; it takes requests once it is ready. */
+    void start();
+
+    /** Ends it at once; what it holds is lost. */
+    void kill();
+
+    /** Asks it to end: it takes nothing new after a while, serves what it holds, and goes. */
+    void end();
+
+    /** Whether it takes requests. */
+    boolean isReady();
+
+    /** Since when it has been as it is. */
+    long sinceUs();
+
+    /** Asks it on behalf of a client; never answers from inside this call. */
+    void ask(Try asked, Asker asker);
+
+    /** The client of this try has gone. */
+    void left(long id);
+
+    /** Operators take an app server out by hand, or let it in again. */
+    void cordon(String server, boolean out);
+}
--- /dev/null
+++ b/rig/src/main/java/kitemux/rig/world/World.java
@@ -0,0 +1,213 @@
+package kitemux.rig.world;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+import kitemux.Balancer;
+import kitemux.Balancer.Group;
+import kitemux.Balancer.ReportField;
+import kitemux.Balancer.ServerEntry;
+import kitemux.Balancer.ServerState;
+import kitemux.Balancer.Settings;
+import kitemux.rig.history.History;
+import kitemux.rig.scenario.Scenario;
+import kitemux.rig.time.Timeline;
+
+/**
+ * All that one run has: app servers, nodes, clients and their front, the list and the network. It lives in whichever
+ * time it is given; what goes wrong comes from outside.
+ */
+public final class World {
+    /** App servers that share which keys they have seen. */
+    private static final int CELL = 8;
+
+    private final Scenario scenario;
+    private final Timeline time;
+    private final History history;
+    private final Map<String, AppServer> servers = new LinkedHashMap<>();
+    private final List<NodePort> nodes = new ArrayList<>();
+    private final Links links;
+    private final ListModel list;
+    private final Front front;
+    private final Clients clients;
+    private final Score score;
+
+    public World(Scenario scenario, Timeline time, History history) {
+        this.scenario = scenario;
+        this.time = time;
+        this.history = history;
+        links = new Links(scenario.net());
+        list = new ListModel(time, history, scenario.list());
+        score = new Score(scenario);
+        front = new Front(nodes, time, scenario.clients().noticeUs());
+        clients = new Clients(this);
+        for (int i = 0; i < scenario.fleet().servers(); i++) {
+            String id = "s" + i;
+            servers.put(id, new AppServer(id, i % zones(), scenario, time, history, () -> fell(id)));
+        }
+    }
+
+    /** The same with simulated nodes, all of which decide by this policy. */
+    public static World simulated(Scenario scenario, Timeline time, History history, Policy policy) {
+        World world = new World(scenario, time, history);
+        for (int i = 0; i < scenario.fleet().nodes(); i++) {
+            world.nodes.add(new SimNode("n" + i, i % world.zones(), world.settings(i), world, policy));
+        }
+        return world;
+    }
+
+    /** Begins: servers warm and known, nodes up, then clients. */
+    public void start() {
+        for (AppServer server : servers.values()) {
+            server.start(true);
+            list.begin(entry(server));
+        }
+        nodes.forEach(NodePort::start);
+        clients.start();
+        time.at(scenario.lengthUs(), clients::stop);
+    }
+
+    /** When all that was asked has had its time. */
+    public long settledUs() {
+        long longest = scenario.classes().stream().mapToLong(Scenario.RequestClass::deadlineUs).max().orElse(0);
+        return scenario.lengthUs() + longest + 4 * scenario.rules().answerGraceUs() + 1_000_000;
+    }
+
+    // ---------------------------------------------------------------- its parts
+
+    public Scenario scenario() {
+        return scenario;
+    }
+
+    public Timeline time() {
+        return time;
+    }
+
+    public History history() {
+        return history;
+    }
+
+    public Links links() {
+        return links;
+    }
+
+    public ListModel list() {
+        return list;
+    }
+
+    public Score score() {
+        return score;
+    }
+
+    Front front() {
+        return front;
+    }
+
+    /** In the order in which they were made. */
+    public Map<String, AppServer> servers() {
+        return servers;
+    }
+
+    public List<NodePort> nodes() {
+        return nodes;
+    }
+
+    public int zones() {
+        return scenario.fleet().zones().size();
+    }
+
+    /** Requests whose client still waits. */
+    public long open() {
+        return clients.open();
+    }
+
+    /** What an attempt takes; it differs from attempt to attempt of the same request. */
+    double attemptWork(NodePort.Try asked, SplittableRandom random) {
+        return asked.workUs() * Chance.spread(random, scenario.classes().get(asked.classIndex()).attemptNoise());
+    }
+
+    // ---------------------------------------------------------------- what troubles do
+
+    /** A share of some things, at least one of them, in an order by chance. */
+    public static <T> List<T> some(List<T> of, double part, SplittableRandom random) {
+        List<T> mixed = new ArrayList<>(of);
+        for (int i = mixed.size() - 1; i > 0; i--) {
+            int j = random.nextInt(i + 1);
+            T moved = mixed.get(i);
+            mixed.set(i, mixed.get(j));
+            mixed.set(j, moved);
+        }
+        return mixed.subList(0, Math.min(mixed.size(), Math.max(1, (int) Math.round(part * mixed.size()))));
+    }
+
+    public List<AppServer> someServers(double part, SplittableRandom random) {
+        return some(List.copyOf(servers.values()), part, random);
+    }
+
+    /** Starts an app server that had ended; it is cold. */
+    public void startServer(AppServer server) {
+        server.start(false);
+        list.started(entry(server));
+    }
+
+    /** Ends an app server's process with no word to anybody. */
+    public void killServer(AppServer server) {
+        server.kill();
+        list.gone(server.id(), false, false);
+    }
+
+    /** Asks for so many times as much. */
+    public void burst(double factor) {
+        clients.burst(factor);
+    }
+
+    /** Makes a share of one class take so many times the work; -1 ends it. */
+    public void heavy(int classIndex, double share, double by) {
+        clients.heavy(classIndex, share, by);
+    }
+
+    private void fell(String id) {
+        AppServer server = servers.get(id);
+        list.gone(id, false, false);
+        time.after(scenario.rules().downUs(), () -> {
+            if (!server.isUp() && !server.isSilent()) {
+                startServer(server);
+            }
+        });
+    }
+
+    private ServerEntry entry(AppServer server) {
+        int number = Integer.parseInt(server.id().substring(1));
+        return new ServerEntry(server.id(), server.zone(), number / CELL, ServerState.READY, 1, server.startedUs());
+    }
+
+    /** What a node is told at its start. */
+    public Settings settings(int me) {
+        Settings settings = new Settings();
+        settings.nodes = scenario.fleet().nodes();
+        settings.me = me;
+        settings.myZone = me % zones();
+        settings.zones.addAll(scenario.fleet().zones());
+        for (Scenario.RequestClass c : scenario.classes()) {
+            settings.classes.add(new Balancer.RequestClass(c.name(), c.aimUs(), 0, c.deadlineUs(), c.worth(), 0,
+                    c.repeat(), Group.ALL, 0, false));
+        }
+        settings.maxAttempts = scenario.rules().maxAttempts();
+        settings.secondCopies = scenario.rules().secondCopies();
+        settings.cancel = scenario.rules().cancel();
+        settings.connectTimeoutUs = scenario.net().connectTimeoutUs();
+        settings.drainGraceUs = scenario.rules().drainGraceUs();
+        settings.coldFrom = scenario.server().coldFrom();
+        settings.coldUs = scenario.server().coldUs();
+        settings.fallMultiple = scenario.rules().fallMultiple();
+        settings.fallUs = scenario.rules().fallUs();
+        settings.crossZonePrice = scenario.prices().crossZone();
+        settings.warmKeys = scenario.server().keyGain() > 0 && scenario.load().keys() > 0;
+        settings.reportFields.add(ReportField.QUEUED);
+        settings.reportFields.add(ReportField.IN_FLIGHT);
+        return settings;
+    }
+}
--- /dev/null
+++ b/rig/src/test/java/kitemux/rig/check/Told.java
@@ -0,0 +1,43 @@
+package kitemux.rig.check;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import kitemux.rig.history.Event;
+import kitemux.rig.history.Event.Kind;
+
+/** Histories made by hand, or drawn, told to one checker. */
+final class Told {
+    private final Checker checker;
+    private long nowUs;
+
+    Told(Checker checker) {
+        this.checker = checker;
+    }
+
+    Told at(long us) {
+        nowUs = us;
+        return this;
+    }
+
+    /** An event of process p. */
+    Told add(Kind kind, Object... fields) {
+        return by("p", kind, fields);
+    }
+
+    Told by(String process, Kind kind, Object... fields) {
+        Map<String, Object> named = new LinkedHashMap<>();
+        for (int i = 0; i < fields.length; i += 2) {
+            named.put((String) fields[i], fields[i + 1]);
+        }
+        checker.read(new Event(nowUs++, process, kind, named));
+        return this;
+    }
+
+    /** The violations once the history has come to its end. */
+    List<Violation> end() {
+        checker.end(nowUs);
+        return checker.violations();
+    }
+}
--- /dev/null
+++ b/rig/src/test/java/kitemux/rig/play/Planted.java
@@ -0,0 +1,149 @@
+package kitemux.rig.play;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+
+import kitemux.Balancer;
+import kitemux.ServiceQBalancer;
+import kitemux.rig.world.Policy;
+
+/** The module with one fault planted between it and its node; what is not overridden passes through. */
+class Planted implements Balancer, Balancer.Actions {
+    Balancer inner;
+    Actions out;
+    Settings settings;
+    long now;
+    /** Requests that the node holds, and the newest server of each. */
+    final Map<Long, Request> held = new HashMap<>();
+    final Map<Long, String> sentTo = new HashMap<>();
+    final Map<String, ServerEntry> listed = new TreeMap<>();
+
+    static Policy policy(Supplier<Planted> fault) {
+        return (settings, seed, actions, servers) -> {
+            Planted planted = fault.get();
+            planted.out = actions;
+            planted.settings = settings;
+            planted.inner = new ServiceQBalancer(planted.given(settings), seed, planted);
+            return planted;
+        };
+    }
+
+    Settings given(Settings told) {
+        return told;
+    }
+
+    /** Any ready server but this one. */
+    String another(String server) {
+        return listed.values().stream().filter(e -> e.state() == ServerState.READY && !e.id().equals(server))
+                .map(ServerEntry::id).findFirst().orElseThrow();
+    }
+
+    @Override
+    public void onServers(long nowUs, ListKind kind, List<ServerEntry> entries) {
+        now = nowUs;
+        entries.forEach(e -> listed.put(e.id(), e));
+        inner.onServers(nowUs, kind, new ArrayList<>(entries));
+    }
+
+    @Override
+    public void onListFailed(long nowUs) {
+        inner.onListFailed(nowUs);
+    }
+
+    @Override
+    public void onRequest(long nowUs, Request request) {
+        now = nowUs;
+        held.put(request.id(), request);
+        inner.onRequest(nowUs, request);
+    }
+
+    @Override
+    public void onOutcome(long nowUs, Outcome outcome) {
+        now = nowUs;
+        inner.onOutcome(nowUs, outcome);
+    }
+
+    @Override
+    public void onFirstByte(long nowUs, long requestId, int attempt) {
+        inner.onFirstByte(nowUs, requestId, attempt);
+    }
+
+    @Override
+    public void onClientGone(long nowUs, long requestId) {
+        now = nowUs;
+        inner.onClientGone(nowUs, requestId);
+    }
+
+    @Override
+    public void onWake(long nowUs) {
+        now = nowUs;
+        inner.onWake(nowUs);
+    }
+
+    @Override
+    public void onSettings(long nowUs, Settings other) {
+        inner.onSettings(nowUs, other);
+    }
+
+    @Override
+    public void onCordoned(long nowUs, Set<String> serverIds) {
+        now = nowUs;
+        inner.onCordoned(nowUs, serverIds);
+    }
+
+    @Override
+    public int skipped() {
+        return inner.skipped();
+    }
+
+    @Override
+    public void send(long requestId, String serverId, long untilUs) {
+        sentTo.put(requestId, serverId);
+        out.send(requestId, serverId, untilUs);
+    }
+
+    @Override
+    public void cancel(long requestId, int attempt) {
+        out.cancel(requestId, attempt);
+    }
+
+    @Override
+    public void refuse(long requestId, long retryAfterUs) {
+        out.refuse(requestId, retryAfterUs);
+    }
+
+    @Override
+    public void fail(long requestId) {
+        out.fail(requestId);
+    }
+
+    @Override
+    public void wakeAt(long atUs) {
+        out.wakeAt(atUs);
+    }
+
+    @Override
+    public void probe(String serverId) {
+        out.probe(serverId);
+    }
+
+    @Override
+    public void closeIdle(String serverId) {
+        out.closeIdle(serverId);
+    }
+
+    @Override
+    public void subscribe() {
+        out.subscribe();
+    }
+
+    @Override
+    public void log(String line) {
+        out.log(line);
+    }
+}
--- /dev/null
+++ b/rig/src/test/java/kitemux/rig/play/SimPlayTest.java
@@ -0,0 +1,53 @@
+package kitemux.rig.play;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+import kitemux.rig.baseline.Baselines;
+import kitemux.rig.scenario.Scenario;
+import kitemux.rig.world.Policy;
+
+class SimPlayTest {
+
+    private static List<String> digests(Scenario scenario, int cores) throws InterruptedException {
+        return Seeds.play(1, 8, cores, seed -> SimPlay.play(scenario, seed, Policy.MODULE, null, true,
+                (nowUs, world) -> { }).digest(), digest -> { });
+    }
+
+    @Test
+    void theSameSeedGivesTheSameBytesOnOneCoreAndOnEight() throws Exception {
+        Scenario scenario = PlantedFaultsTest.scenario("hands");
+        List<String> alone = digests(scenario, 1);
+        assertEquals(alone, digests(scenario, 8));
+        assertEquals(8, Set.copyOf(alone).size());
+    }
+
+    @Test
+    void everyBaselineKeepsTheRulesWhereNothingIsCold() throws Exception {
+        Scenario scenario = PlantedFaultsTest.scenario("jam");
+        for (String name : Baselines.names()) {
+            Outcome outcome = SimPlay.play(scenario, 5, Baselines.named(name));
+            assertEquals(List.of(), outcome.violations(), name);
+            assertTrue(outcome.score().firstTries() > 1_000, name);
+        }
+    }
+
+    @Test
+    void aPolicyThatSeesAllIsAheadOfOneThatSeesNothing() throws Exception {
+        Scenario scenario = PlantedFaultsTest.scenario("jam");
+        double[][] g = new double[2][6];
+        for (int seed = 0; seed < 6; seed++) {
+            g[0][seed] = SimPlay.play(scenario, seed, Baselines.named("oracle")).score().g();
+            g[1][seed] = SimPlay.play(scenario, seed, Baselines.named("random")).score().g();
+        }
+        Comparison compared = Comparison.of(g[0], g[1]);
+        assertTrue(compared.from() > 0, compared.toString());
+        assertNotEquals(compared.from(), compared.to());
+    }
+}
--- /dev/null
+++ b/rig/src/test/java/kitemux/rig/time/SimulatorTest.java
@@ -0,0 +1,38 @@
+package kitemux.rig.time;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+class SimulatorTest {
+    private final Simulator time = new Simulator(7);
+    private final List<String> seen = new ArrayList<>();
+
+    @Test
+    void whatIsDueAtOnceRunsInTheOrderAskedForAndWhatIsCalledOffNever() {
+        time.at(20, () -> seen.add("c at " + time.nowUs()));
+        time.at(10, () -> {
+            seen.add("a at " + time.nowUs());
+            time.at(5, () -> seen.add("late at " + time.nowUs()));
+        });
+        time.at(10, () -> seen.add("b at " + time.nowUs()));
+        time.at(15, () -> seen.add("off")).cancel();
+        time.at(31, () -> seen.add("beyond"));
+        time.playUntil(30);
+        assertEquals(List.of("a at 10", "b at 10", "late at 10", "c at 20"), seen);
+        assertEquals(30, time.nowUs());
+    }
+
+    @Test
+    void anActorDrawsTheSameWhateverElseThereIs() {
+        long alone = time.stream("server s1").nextLong();
+        time.stream("server s0").nextLong();
+        assertEquals(alone, time.stream("server s1").nextLong());
+        assertNotEquals(alone, time.stream("server s2").nextLong());
+        assertNotEquals(alone, new Simulator(8).stream("server s1").nextLong());
+    }
+}
