--- /dev/null
+++ b/cli/src/main/java/kitemux/cli/Fleet.java
@@ -0,0 +1,215 @@
+package kitemux.cli;
+
+import java.io.BufferedOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+import kitemux.rig.baseline.Baselines;
+import kitemux.rig.check.Violation;
+import kitemux.rig.play.Comparison;
+import kitemux.rig.play.Outcome;
+import kitemux.rig.play.Seeds;
+import kitemux.rig.play.Shrink;
+import kitemux.rig.play.SimPlay;
+import kitemux.rig.scenario.BadScenarioException;
+import kitemux.rig.scenario.Scenario;
+import kitemux.rig.scenario.ScenarioFile;
+import kitemux.rig.trouble.Troubles;
+import kitemux.rig.world.Policy;
+import kitemux.rig.world.World;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Whole fleets: several nodes, what surrounds them, and what goes wrong between them. */
+@Command(name = "fleet", mixinStandardHelpOptions = true,
+        description = "Plays fleets of nodes, with what goes wrong between them, before a referee.")
+final class Fleet {
+    @Spec
+    private CommandSpec spec;
+
+    private PrintWriter out() {
+        return spec.commandLine().getOut();
+    }
+
+    private PrintWriter err() {
+        return spec.commandLine().getErr();
+    }
+
+    private static boolean onTerminal() {
+        return System.console() != null;
+    }
+
+    /** A scenario file and what goes before it. */
+    static final class Played {
+        @Parameters(paramLabel = "SCENARIO", description = "A scenario file; docs/rig.md tells its keys.")
+        private Path file;
+
+        @Option(names = "--set", paramLabel = "KEY=VALUE", description = "Goes before the file's value:"
+                + " --set load.per_second=200 --set trouble.0.size=4")
+        private Map<String, String> overrides = new LinkedHashMap<>();
+
+        Scenario read() {
+            try {
+                return ScenarioFile.read(file, overrides, Troubles.names());
+            } catch (BadScenarioException e) {
+                throw new ToldException(file + ":\n  " + String.join("\n  ", e.faults()));
+            }
+        }
+
+        /** The command line that plays it again. */
+        String again(String command, long seed) {
+            String set = overrides.entrySet().stream().map(e -> " --set " + e.getKey() + "=" + e.getValue())
+                    .collect(Collectors.joining());
+            return "kitemux fleet " + command + " " + file + " --seed " + seed + set;
+        }
+    }
+
+    private static Policy policy(String name) {
+        Policy policy = Baselines.named(name);
+        if (policy == null) {
+            throw new ToldException("policy " + name + ": must be one of " + String.join(", ", Baselines.names()));
+        }
+        return policy;
+    }
+
+    @Command(name = "run", mixinStandardHelpOptions = true, description = "Plays a scenario once.",
+            footer = {"%nExample: kitemux fleet run scenarios/jam.toml --seed 7 --history jam.jsonl", ExitCode.HELP})
+    int run(@Mixin Played played,
+            @Option(names = "--seed", defaultValue = "1", description = "Seed of all chance; default 1.") long seed,
+            @Option(names = "--policy", defaultValue = "module", description = "What decides: ${DEFAULT-VALUE}"
+                    + " (default), or a built-in baseline.") String policyName,
+            @Option(names = "--json", description = "The outcome as one line of JSON.") boolean json,
+            @Option(names = "--history", paramLabel = "FILE", description = "Writes down all that happens.") Path file)
+            throws IOException {
+        Scenario scenario = played.read();
+        Policy policy = policy(policyName);
+        SimPlay.Progress progress = onTerminal() && !json ? this::showSecond : (nowUs, world) -> { };
+        Outcome outcome;
+        if (file == null) {
+            outcome = SimPlay.play(scenario, seed, policy, null, true, progress);
+        } else {
+            try (OutputStream to = new BufferedOutputStream(Files.newOutputStream(file))) {
+                outcome = SimPlay.play(scenario, seed, policy, to, true, progress);
+            }
+        }
+        if (json) {
+            out().println(Outcomes.json(scenario, outcome));
+        } else {
+            out().println(outcome.score());
+            out().println(outcome.events() + " events, SHA-256 " + outcome.digest());
+            tell(outcome, played);
+        }
+        return outcome.isKept() ? ExitCode.OK : ExitCode.BROKEN;
+    }
+
+    private void showSecond(long nowUs, World world) {
+        err().printf(Locale.ROOT, "\r%4d s  %5d requests open", nowUs / 1_000_000, world.open());
+        err().flush();
+    }
+
+    private void tell(Outcome outcome, Played played) {
+        for (Violation violation : outcome.violations()) {
+            out().println("BROKEN " + violation);
+            out().println("again: " + played.again("run", outcome.seed()));
+        }
+        if (outcome.isKept()) {
+            out().println("rules kept");
+        }
+    }
+
+    @Command(name = "hunt", mixinStandardHelpOptions = true, description = "Plays a scenario with many seeds, looks"
+            + " for broken rules, and makes the first that it finds as small as it can.",
+            footer = {"%nExample: kitemux fleet hunt scenarios/herd.toml --seeds 1000", ExitCode.HELP})
+    int hunt(@Mixin Played played,
+            @Option(names = "--seeds", defaultValue = "100", description = "How many; default 100.") int seeds,
+            @Option(names = "--first", defaultValue = "1", description = "The first seed; default 1.") long first,
+            @Option(names = "--cores", description = "How many at a time; default all.") Integer cores,
+            @Option(names = "--policy", defaultValue = "module", description = "What decides.") String policyName)
+            throws InterruptedException {
+        Scenario scenario = played.read();
+        Policy policy = policy(policyName);
+        int[] count = {0};
+        List<Outcome> all = Seeds.play(first, atLeastOne("--seeds", seeds), cores(cores),
+                seed -> SimPlay.play(scenario, seed, policy), outcome -> {
+                    if (onTerminal()) {
+                        err().printf("\r%d of %d seeds", ++count[0], seeds);
+                        err().flush();
+                    }
+                });
+        List<Outcome> broken = all.stream().filter(outcome -> !outcome.isKept()).toList();
+        double[] g = all.stream().mapToDouble(outcome -> outcome.score().g()).sorted().toArray();
+        out().printf(Locale.ROOT, "%d seeds, %d broken; G least %.4f, median %.4f, most %.4f%n", all.size(),
+                broken.size(), g[0], g[g.length / 2], g[g.length - 1]);
+        if (broken.isEmpty()) {
+            return ExitCode.OK;
+        }
+        out().println("seeds that break a rule: " + broken.stream().limit(20)
+                .map(outcome -> Long.toString(outcome.seed())).collect(Collectors.joining(", ")));
+        Outcome worst = broken.get(0);
+        tell(worst, played);
+        Shrink.Smallest least = Shrink.shrink(scenario, worst.violations().get(0),
+                lesser -> SimPlay.play(lesser, worst.seed(), policy));
+        Scenario s = least.scenario();
+        out().printf(Locale.ROOT, "%nsmallest found in %d plays: %.3f s, %d nodes, %d servers, %.1f requests a"
+                + " second, %d keys, troubles %s%n", least.plays(), s.lengthUs() / 1e6, s.fleet().nodes(),
+                s.fleet().servers(), s.load().perSecond(), s.load().keys(), s.troubles());
+        out().println(least.violation());
+        return ExitCode.BROKEN;
+    }
+
+    @Command(name = "compare", mixinStandardHelpOptions = true, description = "Plays a scenario with two policies on"
+            + " the same seeds.",
+            footer = {"%nExample: kitemux fleet compare scenarios/jam.toml --a module --b two-choices --seeds 30",
+                ExitCode.HELP})
+    int compare(@Mixin Played played,
+            @Option(names = "--a", defaultValue = "module", description = "Default: module.") String a,
+            @Option(names = "--b", required = true, description = "module, random, round-robin, least-outstanding,"
+                    + " two-choices, plain or oracle.") String b,
+            @Option(names = "--seeds", defaultValue = "30", description = "How many; default 30.") int seeds,
+            @Option(names = "--first", defaultValue = "1", description = "The first seed; default 1.") long first,
+            @Option(names = "--cores", description = "How many at a time; default all.") Integer cores)
+            throws InterruptedException {
+        Scenario scenario = played.read();
+        Policy policyA = policy(a);
+        Policy policyB = policy(b);
+        atLeastOne("--seeds", seeds);
+        List<Outcome> ofA = Seeds.play(first, seeds, cores(cores), s -> SimPlay.play(scenario, s, policyA), o -> { });
+        List<Outcome> ofB = Seeds.play(first, seeds, cores(cores), s -> SimPlay.play(scenario, s, policyB), o -> { });
+        out().println("G of A = " + a + ", B = " + b + ", " + seeds + " seeds from " + first);
+        out().println(Comparison.of(ofA.stream().mapToDouble(o -> o.score().g()).toArray(),
+                ofB.stream().mapToDouble(o -> o.score().g()).toArray()));
+        long brokenA = ofA.stream().filter(o -> !o.isKept()).count();
+        long brokenB = ofB.stream().filter(o -> !o.isKept()).count();
+        out().println("seeds with a broken rule: A " + brokenA + ", B " + brokenB);
+        return brokenA == 0 ? ExitCode.OK : ExitCode.BROKEN;
+    }
+
+    @Command(name = "troubles", mixinStandardHelpOptions = true, description = "Lists what can go wrong.")
+    int troubles() {
+        Troubles.names().forEach(out()::println);
+        return ExitCode.OK;
+    }
+
+    private static int atLeastOne(String option, int value) {
+        if (value < 1) {
+            throw new ToldException(option + " " + value + ": must be at least 1");
+        }
+        return value;
+    }
+
+    private static int cores(Integer given) {
+        return given == null ? Runtime.getRuntime().availableProcessors() : atLeastOne("--cores", given);
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/kitemux/cli/Main.java
@@ -0,0 +1,32 @@
+package kitemux.cli;
+
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/** The command for operators and developers; the node has a program of its own, which starts without any of this. */
+@Command(name = "kitemux", mixinStandardHelpOptions = true, version = "kitemux 0.1.0",
+        description = "Keeps fleets of kitemux nodes running, and proves that it does.",
+        subcommands = {Fleet.class, CommandLine.HelpCommand.class})
+public final class Main {
+
+    /** Runs one command; the exit code is documented with each. */
+    public static void main(String[] args) {
+        System.exit(commandLine().execute(args));
+    }
+
+    static CommandLine commandLine() {
+        return new CommandLine(new Main()).setExecutionExceptionHandler((e, command, parsed) -> {
+            if (e instanceof ToldException) {
+                command.getErr().println("kitemux: " + e.getMessage());
+                return ExitCode.USAGE;
+            }
+            command.getErr().println("kitemux: " + e);
+            for (Throwable cause = e; cause != null; cause = cause.getCause()) {
+                for (StackTraceElement at : cause.getStackTrace()) {
+                    command.getErr().println("    at " + at);
+                }
+            }
+            return ExitCode.FAILED;
+        });
+    }
+}
