--- /dev/null
+++ b/node/src/main/java/kitemux/node/AttemptLife.java
@@ -0,0 +1,214 @@
+package kitemux.node;
+
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+
+import kitemux.Balancer.Outcome;
+import kitemux.Balancer.Result;
+
+/** One attempt of a request at one server, gathered or flowing. */
+final class AttemptLife implements Exchange, Flow {
+    private static final byte[] NO_BODY = {};
+    /** A server that neither takes nor gives anything for so long, amid something that flows, is gone. */
+    private static final long MOST_SILENCE_US = 10_000_000;
+
+    private final RequestLife of;
+    private final int number;
+    private final String serverId;
+    private final Means means;
+    private final long sentAtUs;
+    private final long untilUs;
+    /** From when the server could work on it, and when it began to answer; 0 until then. */
+    private long wholeAtUs;
+    private long begunAtUs;
+    /** When last something of it went on. */
+    private long movedAtUs;
+    private long passed;
+    private Flow answer;
+    private boolean heldBack;
+    private Future<?> expiry;
+    private double[] report;
+    private boolean over;
+
+    AttemptLife(RequestLife of, int number, String serverId, long untilUs, Means means) {
+        this.of = of;
+        this.number = number;
+        this.serverId = serverId;
+        this.untilUs = untilUs;
+        this.means = means;
+        sentAtUs = means.clock().nowUs();
+        wholeAtUs = sentAtUs;
+        movedAtUs = sentAtUs;
+    }
+
+    int number() {
+        return number;
+    }
+
+    boolean isOver() {
+        return over;
+    }
+
+    private long endsUs() {
+        return Math.min(untilUs, of.deadlineUs());
+    }
+
+    @Override
+    public FullHttpRequest message() {
+        of.carriedBy(this);
+        ClientRequest.Head head = of.request.head();
+        byte[] body = of.request.body();
+        FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(),
+                Unpooled.wrappedBuffer(body));
+        long leftUs = of.isWhole() ? endsUs() - means.clock().nowUs() : head.leftUs();
+        message.headers().set(HttpHeaderNames.HOST, "backend.local")
+                .set("X-Txn", head.txn())
+                .set("X-Lane", of.className())
+                .set("X-Remaining", Math.max(1, leftUs) + "u");
+        if (head.idempotencyKey() != null) {
+            message.headers().set("Idempotency-Key", head.idempotencyKey());
+        }
+        if (upload() != null && upload().length() < 0) {
+            HttpUtil.setTransferEncodingChunked(message, true);
+        } else if (upload() != null) {
+            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, upload().length());
+        } else if (body.length > 0 || !head.method().equals(HttpMethod.GET)) {
+            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        }
+        return message;
+    }
+
+    @Override
+    public Upload upload() {
+        return of.request.upload();
+    }
+
+    @Override
+    public void written() {
+        means.counters().tried();
+    }
+
+    void begin() {
+        if (endsUs() <= sentAtUs || !of.admits(number)) {
+            ended(Result.MOOT, NO_BODY);
+            return;
+        }
+        if (of.isWhole()) {
+            awaitEnd();
+        }
+        if (upload() != null) {
+            means.flowing().add(this);
+        }
+        means.pool().start(serverId, this);
+    }
+
+    /** All of the request has come: its time runs. */
+    void cameWhole() {
+        wholeAtUs = means.clock().nowUs();
+        awaitEnd();
+    }
+
+    private void awaitEnd() {
+        expiry = means.loop().schedule(this::expire, endsUs() - means.clock().nowUs(), TimeUnit.MICROSECONDS);
+    }
+
+    /** Whether the server has neither taken nor given anything for too long. */
+    boolean isStalled(long nowUs) {
+        boolean onServer = answer == null ? upload().awaitsServer() && upload().passed() == passed : !heldBack;
+        passed = answer == null ? upload().passed() : 0;
+        movedAtUs = onServer ? movedAtUs : nowUs;
+        return nowUs - movedAtUs > MOST_SILENCE_US;
+    }
+
+    @Override
+    public void begun(long length, Flow from) {
+        answer = from;
+        begunAtUs = means.clock().nowUs();
+        means.flowing().add(this);
+        if (expiry != null) {
+            expiry.cancel(false);
+        }
+        if (of.beginAnswer(length, this)) {
+            means.module().tell(of, module -> module.onFirstByte(means.clock().nowUs(), of.id, number));
+        }
+    }
+
+    @Override
+    public void part(ByteBuf part) {
+        movedAtUs = means.clock().nowUs();
+        ClientConnection client = of.takes(this);
+        if (client != null) {
+            client.continueAnswer(part);
+        } else {
+            part.release();
+        }
+    }
+
+    @Override
+    public void partsRead() {
+        ClientConnection client = of.takes(this);
+        if (client != null) {
+            client.flushAnswer();
+        }
+    }
+
+    @Override
+    public void holdBack() {
+        heldBack = true;
+        answer.holdBack();
+    }
+
+    @Override
+    public void goOn() {
+        heldBack = false;
+        movedAtUs = means.clock().nowUs();
+        answer.goOn();
+    }
+
+    /** Its time is up. */
+    void expire() {
+        // What never left for want of a connection is known not to have run.
+        ended(means.pool().giveUp(serverId, this) ? Result.TIMEOUT : Result.CONNECT_FAILED, NO_BODY);
+    }
+
+    void cancel() {
+        if (!over) {
+            means.pool().giveUp(serverId, this);
+            ended(Result.CANCELLED, NO_BODY);
+        }
+    }
+
+    @Override
+    public void reported(String load) {
+        report = LoadReport.decode(load, means.reportFields());
+    }
+
+    @Override
+    public void ended(Result result, byte[] body) {
+        if (over) {
+            return;
+        }
+        over = true;
+        means.flowing().remove(this);
+        if (expiry != null) {
+            expiry.cancel(false);
+        }
+        of.attemptEnded(this, result, body);
+        // Of what flowed it counts how long the server took, not how long the two ends did.
+        long answeredAtUs = begunAtUs == 0 ? means.clock().nowUs() : begunAtUs;
+        means.module().tell(of, module -> {
+            of.attemptTold();
+            module.onOutcome(means.clock().nowUs(), new Outcome(of.id, number, result,
+                    Math.max(0, answeredAtUs - wholeAtUs), of.isEnded(), report));
+        });
+    }
+}
--- /dev/null
+++ b/node/src/main/java/kitemux/node/ClientConnection.java
@@ -0,0 +1,489 @@
+package kitemux.node;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * A client's connection: one request at a time, further ones wait their turn. It is long because reading, answering
+ * and closing share one state, which would otherwise only be passed about.
+ */
+final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> implements Flow {
+    /** What becomes of a request; told once. */
+    interface OpenRequest {
+        /** The client has closed before it had its answer, or lost the right to one. */
+        void left();
+    }
+
+    /** Whoever has accepted the connection. */
+    interface Owner {
+        /** What requests are read by now. */
+        RequestReader reader();
+
+        /** Whether every answer is to end its connection. */
+        boolean drains();
+
+        /** What {@code GET /up} is answered. */
+        HttpResponseStatus up();
+
+        /** It has begun to ask: others have been idle for longer. */
+        void used(ClientConnection client);
+
+        /** A whole request that can be read; it is owed one {@link #answer}. */
+        void asked(ClientConnection client, ClientRequest request);
+
+        /** It is closed. */
+        void closed(ClientConnection client);
+    }
+
+    private static final byte[] NO_BODY = {};
+    /** A client that has asked nothing for so long makes room for others. */
+    private static final long MOST_IDLE_NANOS = TimeUnit.SECONDS.toNanos(120);
+    /** Whoever connects and asks nothing is owed an end within 3 s, but a head may take 2 s. */
+    private static final long MOST_UNPROVEN_NANOS = TimeUnit.MILLISECONDS.toNanos(2_300);
+    /** From then on a first request must come on: no longer pauses, and half the rate of the slowest. */
+    private static final long MOST_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+    private static final double LEAST_BYTES_PER_NANO = 32e3 / 1e9;
+    /** Whoever has begun a request and sends no more of it holds a socket and memory for nothing. */
+    private static final long MOST_READING_NANOS = TimeUnit.SECONDS.toNanos(10);
+    /** So does whoever takes nothing more of an answer, and a connection to a server with it. */
+    private static final long MOST_STALL_NANOS = TimeUnit.SECONDS.toNanos(20);
+
+    /** How long the rest of what was turned down may take to come. */
+    private static final long LINGER_MS = 2_000;
+
+    private final Owner owner;
+    private final SocketChannel channel;
+    /** What was sent ahead of the answer that is due. */
+    private final ArrayDeque<HttpObject> waiting = new ArrayDeque<>();
+    private final long connectedAtNanos = System.nanoTime();
+    private long activeAtNanos = connectedAtNanos;
+    /** Whether it has asked a request that could be read: it is a client, not just any peer. */
+    private boolean proven;
+    private boolean keepAlive = true;
+
+    /** From a request's first part until its answer is written. */
+    private boolean busy;
+    /** Whether it has come to its end, or nobody wants the rest. */
+    private boolean whole = true;
+    /** Whether its answer has begun, and whether it is written. */
+    private boolean settled;
+    private boolean written;
+    private ClientRequest.Head head;
+    /** The answer to what is no request that can be taken, once it has come to its end. */
+    private Verdict verdict;
+    private ByteBuf gathered;
+    private long length;
+    private long came;
+    private Upload upload;
+    private boolean heldBack;
+    private long lingerMs;
+    /** The request that is open, as its owner knows it. */
+    private OpenRequest held;
+
+    /** A server's answer that flows to the client, and since when the client takes no more of it. */
+    private Flow answering;
+    private long stalledSinceNanos;
+
+    ClientConnection(SocketChannel channel, Owner owner) {
+        this.channel = channel;
+        this.owner = owner;
+    }
+
+    boolean isIdle() {
+        return !busy;
+    }
+
+    /** Whether it has been waited for too long: for a request, for the rest of one, or to read. */
+    boolean isOverdue(long now) {
+        if (answering != null) {
+            return stalledSinceNanos != 0 && now - stalledSinceNanos > MOST_STALL_NANOS;
+        }
+        if (held != null && upload == null || heldBack && !settled) {
+            return false;
+        }
+        long silence = now - activeAtNanos;
+        if (proven) {
+            return silence > (busy && !whole ? MOST_READING_NANOS : MOST_IDLE_NANOS);
+        }
+        long since = now - connectedAtNanos;
+        // What flows is no slower than the server that takes it.
+        boolean slow = upload == null
+                && came + MOST_PART < LEAST_BYTES_PER_NANO * (since - MOST_UNPROVEN_NANOS);
+        return since > MOST_UNPROVEN_NANOS && (silence > MOST_PAUSE_NANOS || head == null || slow);
+    }
+
+    /** Nobody waits any more for what it may ask. */
+    void close() {
+        channel.close();
+    }
+
+    /** What is told if the client leaves. */
+    void hold(OpenRequest request) {
+        held = request;
+    }
+
+    // ---------------------------------------------------------------- what it asks
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
+        if (!keepAlive && whole) {
+            return;
+        }
+        if (busy && whole) {
+            // Sent ahead of the answer: read on only once it is its turn, so that what waits is bounded.
+            waiting.add(ReferenceCountUtil.retain(part));
+            channel.config().setAutoRead(false);
+            return;
+        }
+        take(part);
+    }
+
+    private void take(HttpObject part) {
+        activeAtNanos = proven || head != null ? System.nanoTime() : activeAtNanos;
+        if (part.decoderResult().isFailure()) {
+            reject(HttpResponseStatus.BAD_REQUEST);
+            return;
+        }
+        if (part instanceof HttpRequest request) {
+            begin(request);
+        }
+        if (part instanceof HttpContent content && !whole) {
+            if (settled) {
+                drop(content);
+            } else {
+                add(content);
+            }
+        }
+    }
+
+    /** The rest of a request that has its answer: read to its end, as the client may read only then. */
+    private void drop(HttpContent content) {
+        came += content.content().readableBytes();
+        if (came > MOST_BODY) {
+            channel.close();
+        } else if (content instanceof LastHttpContent) {
+            whole = true;
+            next();
+        }
+    }
+
+    private void begin(HttpRequest request) {
+        busy = true;
+        whole = false;
+        settled = false;
+        written = false;
+        keepAlive = HttpUtil.isKeepAlive(request);
+        owner.used(this);
+        came = 0;
+        length = HttpUtil.getContentLength(request, -1L);
+        try {
+            request.setUri(RequestReader.target(request.uri()));
+            String path = RequestReader.path(request.uri());
+            if (path.equals("/up")) {
+                verdict = new Verdict(owner.up(), NO_BODY);
+            } else if (RequestReader.isRequestPath(path)) {
+                head = owner.reader().read(request);
+            } else {
+                verdict = new Verdict(HttpResponseStatus.NOT_FOUND, NO_BODY);
+            }
+        } catch (BadRequestException e) {
+            boolean bodiless = request.method().equals(HttpMethod.HEAD);
+            verdict = new Verdict(HttpResponseStatus.BAD_REQUEST, bodiless ? NO_BODY
+                    : (e.getMessage() + "\n").getBytes(StandardCharsets.UTF_8));
+        }
+        if (!StrictServerCodec.isPlain(request)) {
+            reject(HttpResponseStatus.BAD_REQUEST);
+        } else if (length > (head == null ? MOST_GATHERED : MOST_BODY)) {
+            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+        } else if (request.headers().contains(HttpHeaderNames.EXPECT)) {
+            meet(request);
+        }
+    }
+
+    private void meet(HttpRequest expecting) {
+        if (!HttpUtil.is100ContinueExpected(expecting)) {
+            reject(HttpResponseStatus.EXPECTATION_FAILED);
+        } else if (head != null) {
+            channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+        }
+    }
+
+    private void add(HttpContent content) {
+        came += content.content().readableBytes();
+        if (came > (head == null ? MOST_GATHERED : MOST_BODY)) {
+            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            return;
+        }
+        boolean last = content instanceof LastHttpContent;
+        if (upload != null) {
+            upload.add(content.content().retain());
+        } else if (head != null) {
+            gather(content.content());
+        }
+        if (last) {
+            whole = true;
+            goOn();
+            end();
+        } else if (came > MOST_GATHERED && upload == null) {
+            upload = new Upload(this, length, gathered);
+            gathered = null;
+            ask(NO_BODY);
+        }
+    }
+
+    private void gather(ByteBuf bytes) {
+        if (gathered == null) {
+            // Not for what is announced, which may never come.
+            gathered = ALLOCATOR.buffer(bytes.readableBytes());
+        }
+        gathered.writeBytes(bytes);
+    }
+
+    private void end() {
+        if (verdict != null) {
+            answer(verdict.status, verdict.body, 0);
+        } else if (upload != null) {
+            proven = true;
+            upload.end();
+        } else {
+            byte[] body = gathered == null ? NO_BODY : ByteBufUtil.getBytes(gathered);
+            letGo();
+            ask(body);
+        }
+    }
+
+    private void ask(byte[] body) {
+        proven |= whole;
+        try {
+            owner.asked(this, new ClientRequest(head, body, upload));
+        } catch (RuntimeException e) {
+            // A defect met by one request must not leave it without an answer.
+            Log.error("request " + head.uri(), e);
+            if (held == null) {
+                answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, NO_BODY, 0);
+            }
+        }
+    }
+
+    /** Answers what cannot be read and closes: where the next request would begin is not known. */
+    private void reject(HttpResponseStatus status) {
+        keepAlive = false;
+        if (busy && settled) {
+            channel.close();
+            return;
+        }
+        busy = true;
+        whole = true;
+        written = false;
+        lingerMs = LINGER_MS;
+        OpenRequest open = held;
+        answer(status, NO_BODY, 0);
+        if (open != null) {
+            open.left();
+        }
+    }
+
+    @Override
+    public void holdBack() {
+        if (!settled) {
+            heldBack = true;
+            channel.config().setAutoRead(false);
+        }
+    }
+
+    @Override
+    public void goOn() {
+        heldBack = false;
+        activeAtNanos = System.nanoTime();
+        if (waiting.isEmpty()) {
+            channel.config().setAutoRead(true);
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (upload != null) {
+            upload.flush();
+        }
+    }
+
+    // ---------------------------------------------------------------- what it is answered
+
+    /** The one answer to the request that is open; {@code retryAfterUs} of 0 gives no advice. */
+    void answer(HttpResponseStatus status, byte[] body, long retryAfterUs) {
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+                Unpooled.wrappedBuffer(body));
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        if (retryAfterUs > 0) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfterUs / 1e6);
+        }
+        held = null;
+        settle(response);
+        channel.writeAndFlush(response).addListener(written -> answered());
+    }
+
+    /** The beginning of a server's answer of this length, or of -1 where it is not known. */
+    void beginAnswer(long answerLength, Flow from) {
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        if (answerLength >= 0) {
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, answerLength);
+        } else if (head.knowsChunks()) {
+            HttpUtil.setTransferEncodingChunked(response, true);
+        } else {
+            keepAlive = false;
+        }
+        settle(response);
+        answering = from;
+        channel.write(response);
+    }
+
+    /** The answer's next part, which is taken over. */
+    void continueAnswer(ByteBuf part) {
+        channel.write(new DefaultHttpContent(part));
+        if (!channel.isWritable() && stalledSinceNanos == 0) {
+            stalledSinceNanos = System.nanoTime();
+            answering.holdBack();
+        }
+    }
+
+    void flushAnswer() {
+        channel.flush();
+    }
+
+    void endAnswer() {
+        held = null;
+        answering = null;
+        stalledSinceNanos = 0;
+        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(written -> answered());
+    }
+
+    /** The rest will not come; by the connection's end the client can tell. */
+    void breakOffAnswer() {
+        held = null;
+        answering = null;
+        // Where nothing but the end tells that an answer is whole, it must be no orderly one.
+        channel.config().setSoLinger(0);
+        channel.close();
+    }
+
+    /** Its answer has begun: what the client still sends of the request is of no more use. */
+    private void settle(HttpResponse response) {
+        letGo();
+        verdict = null;
+        settled = true;
+        if (upload != null) {
+            upload = null;
+            goOn();
+        }
+        activeAtNanos = System.nanoTime();
+        if (!keepAlive || owner.drains()) {
+            keepAlive = false;
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+    }
+
+    private void letGo() {
+        if (gathered != null) {
+            gathered.release();
+            gathered = null;
+        }
+    }
+
+    /** Only once an answer is written is it the next one's turn: a client may ask and never read. */
+    private void answered() {
+        written = true;
+        next();
+    }
+
+    private void next() {
+        if (!whole || !written) {
+            return;
+        }
+        busy = false;
+        head = null;
+        if (!keepAlive) {
+            // What is still coming is read for a while: closing on it would break the answer off.
+            channel.shutdownOutput();
+            channel.eventLoop().schedule(() -> channel.close(), lingerMs, TimeUnit.MILLISECONDS);
+        } else if (!waiting.isEmpty()) {
+            channel.eventLoop().execute(this::serveNext);
+        }
+    }
+
+    private void serveNext() {
+        while (!waiting.isEmpty() && !(busy && whole)) {
+            HttpObject part = waiting.poll();
+            try {
+                take(part);
+            } finally {
+                ReferenceCountUtil.release(part);
+            }
+        }
+        if (waiting.isEmpty() && !heldBack) {
+            channel.config().setAutoRead(true);
+        }
+        if (upload != null) {
+            upload.flush();
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (answering != null && channel.isWritable() && stalledSinceNanos != 0) {
+            stalledSinceNanos = 0;
+            answering.goOn();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        keepAlive = false;
+        whole = true;
+        busy = true;
+        letGo();
+        waiting.forEach(ReferenceCountUtil::release);
+        waiting.clear();
+        if (held != null) {
+            held.left();
+        }
+        owner.closed(this);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        // A client that leaves amid its request is no defect of ours either.
+        if (!(cause instanceof IOException)) {
+            Log.error("connection to a client", cause);
+        }
+        channel.close();
+    }
+
+    /** What a request that cannot be taken is answered. */
+    private record Verdict(HttpResponseStatus status, byte[] body) { }
+}
--- a/node/src/main/java/kitemux/node/ClientServer.java
+++ b/node/src/main/java/kitemux/node/ClientServer.java
@@ -1,80 +1,39 @@
 package kitemux.node;
 
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.ReferenceCountUtil;
 
 /** The side that clients see: connections, what they ask, and the answers they get. */
-final class ClientServer {
+final class ClientServer implements ClientConnection.Owner {
     /** What becomes of requests. */
     interface Handler {
-        /** A whole request that can be read; it is owed one {@link Client#answer}. */
-        void asked(Client client, ClientRequest request);
-
-        /** The client has closed before it had its answer, or lost the right to one. */
-        void left(Node.Held request);
+        /** A whole request that can be read; it is owed one {@link ClientConnection#answer}. */
+        void asked(ClientConnection client, ClientRequest request);
     }
 
-    private static final byte[] NO_BODY = {};
     /** After SIGTERM connections arrive for 0.4 s more; a tenth is room for those under way. */
     private static final long ARRIVING_MS = 500;
-    /** A client that has asked nothing for so long makes room for others. */
-    private static final long MOST_IDLE_NANOS = TimeUnit.SECONDS.toNanos(120);
-    /** Whoever connects and asks nothing is owed an end within 3 s, but a head may take 2 s. */
-    private static final long MOST_UNPROVEN_NANOS = TimeUnit.MILLISECONDS.toNanos(2_300);
-    /** From then on a first request must come on: no longer pauses, and half the rate of the slowest. */
-    private static final long MOST_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
-    private static final double LEAST_BYTES_PER_NANO = 32e3 / 1e9;
-    /** Whoever has begun a request and sends no more of it holds a socket and memory for nothing. */
-    private static final long MOST_READING_NANOS = TimeUnit.SECONDS.toNanos(10);
-    /** So does whoever takes nothing more of an answer, and a connection to a server with it. */
-    private static final long MOST_STALL_NANOS = TimeUnit.SECONDS.toNanos(20);
-
-    /** How long the rest of what was turned down may take to come. */
-    private static final long LINGER_MS = 2_000;
 
     private final EventLoopGroup loop;
     private RequestReader reader;
     private final Sockets sockets;
     private final Handler handler;
     /** All connections, the longest unused first. */
-    private final Set<Client> clients = new LinkedHashSet<>();
+    private final Set<ClientConnection> clients = new LinkedHashSet<>();
     private Channel listening;
     /** Whether another process of this node may accept on the same socket. */
     private boolean shared;
@@ -96,7 +55,7 @@
                         : new NioServerSocketChannel(inherited))
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, 1024)
-                .childOption(ChannelOption.ALLOCATOR, Node.ALLOCATOR)
+                .childOption(ChannelOption.ALLOCATOR, Flow.ALLOCATOR)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_SNDBUF, Flow.SYSTEM_BUFFER)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Flow.WATER_MARK)
@@ -126,15 +85,15 @@
             channel.close();
             return;
         }
-        Client client = new Client(channel);
+        ClientConnection client = new ClientConnection(channel, this);
         clients.add(client);
         channel.pipeline().addLast(new StrictServerCodec(), client);
     }
 
     private boolean closeOldestIdle() {
-        for (Client client : clients) {
+        for (ClientConnection client : clients) {
             if (client.isIdle()) {
-                client.channel.close();
+                client.close();
                 return true;
             }
         }
@@ -144,9 +103,9 @@
     /** Closes connections that have been idle, or amid a request or an unread answer, for too long. */
     void closeOld() {
         long now = System.nanoTime();
-        for (Client client : new ArrayList<>(clients)) {
+        for (ClientConnection client : new ArrayList<>(clients)) {
             if (client.isOverdue(now)) {
-                client.channel.close();
+                client.close();
             }
         }
     }
@@ -169,7 +128,7 @@
     }
 
     private void closeIdle() {
-        new ArrayList<>(clients).stream().filter(Client::isIdle).forEach(c -> c.channel.close());
+        new ArrayList<>(clients).stream().filter(ClientConnection::isIdle).forEach(ClientConnection::close);
     }
 
     /**
@@ -190,7 +149,7 @@
 
     void close() {
         listening.close();
-        new ArrayList<>(clients).forEach(c -> c.channel.close());
+        new ArrayList<>(clients).forEach(ClientConnection::close);
     }
 
     private void tellIfEmpty() {
@@ -199,408 +158,37 @@
         }
     }
 
-    /** A client's connection: one request at a time, further ones wait their turn. */
-    final class Client extends SimpleChannelInboundHandler<HttpObject> implements Flow {
-        private final SocketChannel channel;
-        /** What was sent ahead of the answer that is due. */
-        private final ArrayDeque<HttpObject> waiting = new ArrayDeque<>();
-        private final long connectedAtNanos = System.nanoTime();
-        private long activeAtNanos = connectedAtNanos;
-        /** Whether it has asked a request that could be read: it is a client, not just any peer. */
-        private boolean proven;
-        private boolean keepAlive = true;
-
-        /** From a request's first part until its answer is written. */
-        private boolean busy;
-        /** Whether it has come to its end, or nobody wants the rest. */
-        private boolean whole = true;
-        /** Whether its answer has begun, and whether it is written. */
-        private boolean settled;
-        private boolean written;
-        private ClientRequest.Head head;
-        /** The answer to what is no request that can be taken, once it has come to its end. */
-        private Verdict verdict;
-        private ByteBuf gathered;
-        private long length;
-        private long came;
-        private Upload upload;
-        private boolean heldBack;
-        private long lingerMs;
-        /** The request that is open, as the handler knows it. */
-        Node.Held held;
-
-        /** A server's answer that flows to the client, and since when the client takes no more of it. */
-        private Flow answering;
-        private long stalledSinceNanos;
-
-        Client(SocketChannel channel) {
-            this.channel = channel;
-        }
-
-        private boolean isIdle() {
-            return !busy;
-        }
-
-        /** Whether it has been waited for too long: for a request, for the rest of one, or to read. */
-        private boolean isOverdue(long now) {
-            if (answering != null) {
-                return stalledSinceNanos != 0 && now - stalledSinceNanos > MOST_STALL_NANOS;
-            }
-            if (held != null && upload == null || heldBack && !settled) {
-                return false;
-            }
-            long silence = now - activeAtNanos;
-            if (proven) {
-                return silence > (busy && !whole ? MOST_READING_NANOS : MOST_IDLE_NANOS);
-            }
-            long since = now - connectedAtNanos;
-            // What flows is no slower than the server that takes it.
-            boolean slow = upload == null
-                    && came + MOST_PART < LEAST_BYTES_PER_NANO * (since - MOST_UNPROVEN_NANOS);
-            return since > MOST_UNPROVEN_NANOS && (silence > MOST_PAUSE_NANOS || head == null || slow);
-        }
-
-        // ------------------------------------------------------------ what it asks
-
-        @Override
-        protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
-            if (!keepAlive && whole) {
-                return;
-            }
-            if (busy && whole) {
-                // Sent ahead of the answer: read on only once it is its turn, so that what waits is bounded.
-                waiting.add(ReferenceCountUtil.retain(part));
-                channel.config().setAutoRead(false);
-                return;
-            }
-            take(part);
-        }
-
-        private void take(HttpObject part) {
-            activeAtNanos = proven || head != null ? System.nanoTime() : activeAtNanos;
-            if (part.decoderResult().isFailure()) {
-                reject(HttpResponseStatus.BAD_REQUEST);
-                return;
-            }
-            if (part instanceof HttpRequest request) {
-                begin(request);
-            }
-            if (part instanceof HttpContent content && !whole) {
-                if (settled) {
-                    drop(content);
-                } else {
-                    add(content);
-                }
-            }
-        }
-
-        /** The rest of a request that has its answer: read to its end, as the client may read only then. */
-        private void drop(HttpContent content) {
-            came += content.content().readableBytes();
-            if (came > Node.MOST_BODY) {
-                channel.close();
-            } else if (content instanceof LastHttpContent) {
-                whole = true;
-                next();
-            }
-        }
-
-        private void begin(HttpRequest request) {
-            busy = true;
-            whole = false;
-            settled = false;
-            written = false;
-            keepAlive = HttpUtil.isKeepAlive(request);
-            clients.remove(this);
-            clients.add(this);
-            came = 0;
-            length = HttpUtil.getContentLength(request, -1L);
-            try {
-                request.setUri(RequestReader.target(request.uri()));
-                String path = RequestReader.path(request.uri());
-                if (path.equals("/up")) {
-                    verdict = new Verdict(draining && !shared ? HttpResponseStatus.SERVICE_UNAVAILABLE
-                            : HttpResponseStatus.OK, NO_BODY);
-                } else if (RequestReader.isRequestPath(path)) {
-                    head = reader.read(request);
-                } else {
-                    verdict = new Verdict(HttpResponseStatus.NOT_FOUND, NO_BODY);
-                }
-            } catch (BadRequestException e) {
-                boolean bodiless = request.method().equals(HttpMethod.HEAD);
-                verdict = new Verdict(HttpResponseStatus.BAD_REQUEST, bodiless ? NO_BODY
-                        : (e.getMessage() + "\n").getBytes(StandardCharsets.UTF_8));
-            }
-            if (!StrictServerCodec.isPlain(request)) {
-                reject(HttpResponseStatus.BAD_REQUEST);
-            } else if (length > (head == null ? MOST_GATHERED : Node.MOST_BODY)) {
-                reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-            } else if (request.headers().contains(HttpHeaderNames.EXPECT)) {
-                meet(request);
-            }
-        }
-
-        private void meet(HttpRequest expecting) {
-            if (!HttpUtil.is100ContinueExpected(expecting)) {
-                reject(HttpResponseStatus.EXPECTATION_FAILED);
-            } else if (head != null) {
-                channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                        HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
-            }
-        }
-
-        private void add(HttpContent content) {
-            came += content.content().readableBytes();
-            if (came > (head == null ? MOST_GATHERED : Node.MOST_BODY)) {
-                reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-                return;
-            }
-            boolean last = content instanceof LastHttpContent;
-            if (upload != null) {
-                upload.add(content.content().retain());
-            } else if (head != null) {
-                gather(content.content());
-            }
-            if (last) {
-                whole = true;
-                goOn();
-                end();
-            } else if (came > MOST_GATHERED && upload == null) {
-                upload = new Upload(this, length, gathered);
-                gathered = null;
-                ask(NO_BODY);
-            }
-        }
-
-        private void gather(ByteBuf bytes) {
-            if (gathered == null) {
-                // Not for what is announced, which may never come.
-                gathered = Node.ALLOCATOR.buffer(bytes.readableBytes());
-            }
-            gathered.writeBytes(bytes);
-        }
-
-        private void end() {
-            if (verdict != null) {
-                answer(verdict.status, verdict.body, 0);
-            } else if (upload != null) {
-                proven = true;
-                upload.end();
-            } else {
-                byte[] body = gathered == null ? NO_BODY : ByteBufUtil.getBytes(gathered);
-                letGo();
-                ask(body);
-            }
-        }
-
-        private void ask(byte[] body) {
-            proven |= whole;
-            try {
-                handler.asked(this, new ClientRequest(head, body, upload));
-            } catch (RuntimeException e) {
-                // A defect met by one request must not leave it without an answer.
-                Log.error("request " + head.uri(), e);
-                if (held == null) {
-                    answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, NO_BODY, 0);
-                }
-            }
-        }
-
-        /** Answers what cannot be read and closes: where the next request would begin is not known. */
-        private void reject(HttpResponseStatus status) {
-            keepAlive = false;
-            if (busy && settled) {
-                channel.close();
-                return;
-            }
-            busy = true;
-            whole = true;
-            written = false;
-            lingerMs = LINGER_MS;
-            Node.Held open = held;
-            answer(status, NO_BODY, 0);
-            if (open != null) {
-                handler.left(open);
-            }
-        }
-
-        @Override
-        public void holdBack() {
-            if (!settled) {
-                heldBack = true;
-                channel.config().setAutoRead(false);
-            }
-        }
-
-        @Override
-        public void goOn() {
-            heldBack = false;
-            activeAtNanos = System.nanoTime();
-            if (waiting.isEmpty()) {
-                channel.config().setAutoRead(true);
-            }
-        }
-
-        @Override
-        public void channelReadComplete(ChannelHandlerContext context) {
-            if (upload != null) {
-                upload.flush();
-            }
-        }
-
-        // ------------------------------------------------------------ what it is answered
-
-        /** The one answer to the request that is open; {@code retryAfterUs} of 0 gives no advice. */
-        void answer(HttpResponseStatus status, byte[] body, long retryAfterUs) {
-            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-                    Unpooled.wrappedBuffer(body));
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
-            if (retryAfterUs > 0) {
-                response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfterUs / 1e6);
-            }
-            held = null;
-            settle(response);
-            channel.writeAndFlush(response).addListener(written -> answered());
-        }
-
-        /** The beginning of a server's answer of this length, or of -1 where it is not known. */
-        void beginAnswer(long answerLength, Flow from) {
-            HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
-            if (answerLength >= 0) {
-                response.headers().set(HttpHeaderNames.CONTENT_LENGTH, answerLength);
-            } else if (head.knowsChunks()) {
-                HttpUtil.setTransferEncodingChunked(response, true);
-            } else {
-                keepAlive = false;
-            }
-            settle(response);
-            answering = from;
-            channel.write(response);
-        }
-
-        /** The answer's next part, which is taken over. */
-        void continueAnswer(ByteBuf part) {
-            channel.write(new DefaultHttpContent(part));
-            if (!channel.isWritable() && stalledSinceNanos == 0) {
-                stalledSinceNanos = System.nanoTime();
-                answering.holdBack();
-            }
-        }
-
-        void flushAnswer() {
-            channel.flush();
-        }
-
-        void endAnswer() {
-            held = null;
-            answering = null;
-            stalledSinceNanos = 0;
-            channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(written -> answered());
-        }
-
-        /** The rest will not come; by the connection's end the client can tell. */
-        void breakOffAnswer() {
-            held = null;
-            answering = null;
-            // Where nothing but the end tells that an answer is whole, it must be no orderly one.
-            channel.config().setSoLinger(0);
-            channel.close();
-        }
-
-        /** Its answer has begun: what the client still sends of the request is of no more use. */
-        private void settle(HttpResponse response) {
-            letGo();
-            verdict = null;
-            settled = true;
-            if (upload != null) {
-                upload = null;
-                goOn();
-            }
-            activeAtNanos = System.nanoTime();
-            if (!keepAlive || draining) {
-                keepAlive = false;
-                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            }
-        }
-
-        private void letGo() {
-            if (gathered != null) {
-                gathered.release();
-                gathered = null;
-            }
-        }
+    // ---------------------------------------------------------------- what connections ask of their owner
 
-        /** Only once an answer is written is it the next one's turn: a client may ask and never read. */
-        private void answered() {
-            written = true;
-            next();
-        }
-
-        private void next() {
-            if (!whole || !written) {
-                return;
-            }
-            busy = false;
-            head = null;
-            if (!keepAlive) {
-                // What is still coming is read for a while: closing on it would break the answer off.
-                channel.shutdownOutput();
-                loop.schedule(() -> channel.close(), lingerMs, TimeUnit.MILLISECONDS);
-            } else if (!waiting.isEmpty()) {
-                loop.execute(this::serveNext);
-            }
-        }
+    @Override
+    public RequestReader reader() {
+        return reader;
+    }
 
-        private void serveNext() {
-            while (!waiting.isEmpty() && !(busy && whole)) {
-                HttpObject part = waiting.poll();
-                try {
-                    take(part);
-                } finally {
-                    ReferenceCountUtil.release(part);
-                }
-            }
-            if (waiting.isEmpty() && !heldBack) {
-                channel.config().setAutoRead(true);
-            }
-            if (upload != null) {
-                upload.flush();
-            }
-        }
+    @Override
+    public boolean drains() {
+        return draining;
+    }
 
-        @Override
-        public void channelWritabilityChanged(ChannelHandlerContext context) {
-            if (answering != null && channel.isWritable() && stalledSinceNanos != 0) {
-                stalledSinceNanos = 0;
-                answering.goOn();
-            }
-        }
+    @Override
+    public HttpResponseStatus up() {
+        return draining && !shared ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK;
+    }
 
-        @Override
-        public void channelInactive(ChannelHandlerContext context) {
-            keepAlive = false;
-            whole = true;
-            busy = true;
-            clients.remove(this);
-            letGo();
-            waiting.forEach(ReferenceCountUtil::release);
-            waiting.clear();
-            if (held != null) {
-                handler.left(held);
-            }
-            tellIfEmpty();
-        }
+    @Override
+    public void used(ClientConnection client) {
+        clients.remove(client);
+        clients.add(client);
+    }
 
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            // A client that leaves amid its request is no defect of ours either.
-            if (!(cause instanceof IOException)) {
-                Log.error("connection to a client", cause);
-            }
-            channel.close();
-        }
+    @Override
+    public void asked(ClientConnection client, ClientRequest request) {
+        handler.asked(client, request);
     }
 
-    /** What a request that cannot be taken is answered. */
-    private record Verdict(HttpResponseStatus status, byte[] body) { }
+    @Override
+    public void closed(ClientConnection client) {
+        clients.remove(client);
+        tellIfEmpty();
+    }
 }
--- a/node/src/main/java/kitemux/node/ControlServer.java
+++ b/node/src/main/java/kitemux/node/ControlServer.java
@@ -25,7 +25,7 @@
 /** The address for operators: one call, a line, to a connection. */
 final class ControlServer {
     /** What the node does for operators. */
-    interface Node {
+    interface Operated {
         /** Whether this process can serve clients. */
         boolean serves();
 
@@ -40,15 +40,6 @@
         long cordon(String serverId, boolean out) throws RefusedException;
     }
 
-    /** A call that is not carried out; the message says why. */
-    static final class RefusedException extends Exception {
-        private static final long serialVersionUID = 1;
-
-        RefusedException(String message) {
-            super(message);
-        }
-    }
-
     /** Descriptors that callers may hold, and the listener. */
     static final int SOCKETS = 17;
     private static final int MOST_CALLERS = SOCKETS - 1;
@@ -57,12 +48,12 @@
     private static final long MOST_CALL_MS = 3_000;
 
     private final EventLoop loop;
-    private final Node node;
+    private final Operated node;
     /** Callers, the longest connected first. */
     private final ArrayDeque<Caller> callers = new ArrayDeque<>();
     private Channel listening;
 
-    ControlServer(EventLoop loop, Node node) {
+    ControlServer(EventLoop loop, Operated node) {
         this.loop = loop;
         this.node = node;
     }
@@ -70,7 +61,7 @@
     ChannelFuture listen(InetSocketAddress address) {
         ChannelFuture opening = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.ALLOCATOR, kitemux.node.Node.ALLOCATOR)
+                .childOption(ChannelOption.ALLOCATOR, Flow.ALLOCATOR)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
--- a/node/src/main/java/kitemux/node/Cordons.java
+++ b/node/src/main/java/kitemux/node/Cordons.java
@@ -88,9 +88,9 @@
     }
 
     /** Changes one server's cordon, in the file first: what is answered with yes outlives this process. */
-    void change(String serverId, boolean keepOut) throws ControlServer.RefusedException {
+    void change(String serverId, boolean keepOut) throws RefusedException {
         if (!listed.containsKey(serverId) && !out.contains(serverId)) {
-            throw new ControlServer.RefusedException("never listed: " + serverId);
+            throw new RefusedException("never listed: " + serverId);
         }
         if (file == null) {
             set(List.copyOf(changed(serverId, keepOut)));
@@ -99,7 +99,7 @@
         try (FileChannel guard = FileChannel.open(lock, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
                 FileLock held = guard.tryLock()) {
             if (held == null) {
-                throw new ControlServer.RefusedException("another process is changing cordons, call again");
+                throw new RefusedException("another process is changing cordons, call again");
             }
             refresh();
             List<String> ids = List.copyOf(changed(serverId, keepOut));
@@ -108,7 +108,7 @@
             lines = ids;
             set(ids);
         } catch (IOException | OverlappingFileLockException e) {
-            throw new ControlServer.RefusedException("cordons cannot be kept: " + e);
+            throw new RefusedException("cordons cannot be kept: " + e);
         }
     }
 
--- a/node/src/main/java/kitemux/node/Discovery.java
+++ b/node/src/main/java/kitemux/node/Discovery.java
@@ -102,7 +102,7 @@
         nodes = config.settings().nodes;
         random = new SplittableRandom(config.seed());
         dialer = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.ALLOCATOR, Node.ALLOCATOR)
+                .option(ChannelOption.ALLOCATOR, Flow.ALLOCATOR)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
--- a/node/src/main/java/kitemux/node/Flow.java
+++ b/node/src/main/java/kitemux/node/Flow.java
@@ -1,5 +1,7 @@
 package kitemux.node;
 
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
@@ -9,6 +11,10 @@
  * so that what a node holds of each exchange is bounded, however large it is and however slow a peer.
  */
 interface Flow {
+    /** Buffers of just the size needed, on the heap: memory is short, and loads are small. */
+    ByteBufAllocator ALLOCATOR = new UnpooledByteBufAllocator(false, true);
+    /** The largest body that is passed on. */
+    int MOST_BODY = 32 << 20;
     /** Up to so much of a body is gathered, to be sent again or to be replaced; what is larger flows. */
     int MOST_GATHERED = 64 << 10;
     /** The most that is read at once. */
--- a/node/src/main/java/kitemux/node/HostList.java
+++ b/node/src/main/java/kitemux/node/HostList.java
@@ -66,7 +66,7 @@
         };
         // A server that has gone needs no address; word of it must not be lost for want of one.
         InetSocketAddress endpoint = state == ServerState.GONE ? null
-                : NodeConfig.address(at + "endpoint", target.path("endpoint").asText());
+                : Addresses.parse(at + "endpoint", target.path("endpoint").asText());
         // Boot times may lie some milliseconds off ours; the module's clock is Unix time too.
         ServerEntry entry = new ServerEntry(id, zones.indexOf(target.path("az").asText()),
                 target.path("pod_group").asInt(0), state, target.path("capacity_hint").asDouble(1),
--- a/node/src/main/java/kitemux/node/NodeConfig.java
+++ b/node/src/main/java/kitemux/node/NodeConfig.java
@@ -2,7 +2,6 @@
 
 import java.io.File;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.HashMap;
@@ -10,14 +9,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.TreeSet;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 
-import io.netty.util.NetUtil;
-
 import kitemux.Balancer.RequestClass;
 import kitemux.Balancer.Settings;
 import kitemux.adapter.BootInfo;
@@ -38,6 +37,10 @@
 record NodeConfig(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
         long connIdleUs, HostList known, Settings settings, Set<String> keys, Operators operators) {
 
+    /** A file that cannot be taken is looked at again for so long, this often: figures may be 0.5 s late. */
+    private static final long SETTLES_MS = 200;
+    private static final long LOOK_MS = 20;
+
     /**
      * What a node has only where operators run it day by day.
      *
@@ -55,7 +58,7 @@
             if (!descriptor.isEmpty() && !descriptor.equals("0")) {
                 throw new ConfigException("PROXY_SOCKET_FD", "is not 0, the only one: " + descriptor);
             }
-            return new Operators(control.isEmpty() ? null : address("control", control),
+            return new Operators(control.isEmpty() ? null : Addresses.parse("control", control),
                     folder.isEmpty() ? null : Path.of(folder), !descriptor.isEmpty());
         }
     }
@@ -88,7 +91,7 @@
         }
         String listen = env.getOrDefault("PROXY_LISTEN", json.path("listen").asText());
         String discovery = env.getOrDefault("PROXY_DISCOVERY", json.path("discovery").asText());
-        return new NodeConfig(address("listen", listen), address("discovery", discovery),
+        return new NodeConfig(Addresses.parse("listen", listen), Addresses.parse("discovery", discovery),
                 seed(json.path("seed").asText()), sockets.asInt(), idle, known(json, settings.zones),
                 settings, ownKeys(json), operators);
     }
@@ -156,6 +159,21 @@
         }
     }
 
+    /** The same once the file can be taken: the signal that calls for it may have come ahead of its end. */
+    NodeConfig againSettled(Map<String, String> env) throws ConfigException {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SETTLES_MS);
+        while (true) {
+            try {
+                return again(env);
+            } catch (ConfigException e) {
+                if (System.nanoTime() > until) {
+                    throw e;
+                }
+            }
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(LOOK_MS));
+        }
+    }
+
     private static Settings settings(Map<String, String> flat) throws ConfigException {
         try {
             Settings settings = BootInfo.read(flat);
@@ -219,19 +237,4 @@
             throw new ConfigException("seed", "is not 1 to 16 hex digits");
         }
     }
-
-    /** An IP address with a port. There are no host names: looking one up would block. */
-    static InetSocketAddress address(String field, String text) throws ConfigException {
-        int colon = text.lastIndexOf(':');
-        byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
-        try {
-            if (ip != null) {
-                return new InetSocketAddress(InetAddress.getByAddress(ip),
-                        Integer.parseInt(text.substring(colon + 1)));
-            }
-        } catch (IOException | IllegalArgumentException e) {
-            // Named below.
-        }
-        throw new ConfigException(field, "is not address:port: " + text);
-    }
 }
--- /dev/null
+++ b/node/src/main/java/kitemux/node/Probe.java
@@ -0,0 +1,85 @@
+package kitemux.node;
+
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+
+import kitemux.Balancer.Result;
+
+/** A check of one server. */
+final class Probe implements Exchange {
+    private static final byte[] NO_BODY = {};
+    private static final long MOST_US = 1_000_000;
+
+    private final String serverId;
+    private final Means means;
+    private final long sentAtUs;
+    private Future<?> expiry;
+    private double[] report;
+
+    Probe(String serverId, Means means) {
+        this.serverId = serverId;
+        this.means = means;
+        sentAtUs = means.clock().nowUs();
+    }
+
+    void begin() {
+        expiry = means.loop().schedule(() -> {
+            means.pool().giveUp(serverId, this);
+            ended(Result.TIMEOUT, NO_BODY);
+        }, MOST_US, TimeUnit.MICROSECONDS);
+        means.pool().start(serverId, this);
+    }
+
+    @Override
+    public FullHttpRequest message() {
+        FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/alive",
+                Unpooled.EMPTY_BUFFER);
+        message.headers().set(HttpHeaderNames.HOST, "backend.local");
+        return message;
+    }
+
+    @Override
+    public Upload upload() {
+        return null;
+    }
+
+    @Override
+    public void written() {
+        // No client's request: it counts for nothing.
+    }
+
+    @Override
+    public void begun(long length, Flow from) {
+        // That it answers is all that is asked.
+    }
+
+    @Override
+    public void part(ByteBuf part) {
+        part.release();
+    }
+
+    @Override
+    public void partsRead() {
+        // Nobody to pass them to.
+    }
+
+    @Override
+    public void reported(String load) {
+        report = LoadReport.decode(load, means.reportFields());
+    }
+
+    @Override
+    public void ended(Result result, byte[] body) {
+        expiry.cancel(false);
+        means.module().tell(module -> module.onProbe(means.clock().nowUs(), serverId, result,
+                means.clock().nowUs() - sentAtUs, report));
+    }
+}
--- a/node/src/main/java/kitemux/node/Rehearsal.java
+++ b/node/src/main/java/kitemux/node/Rehearsal.java
@@ -65,7 +65,7 @@
 
     private long play(NodeConfig config) {
         Channel server = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .childOption(ChannelOption.ALLOCATOR, Node.ALLOCATOR)
+                .childOption(ChannelOption.ALLOCATOR, Flow.ALLOCATOR)
                 .childHandler(pipeline(true))
                 .bind(new InetSocketAddress(config.listen().getAddress(), 0)).syncUninterruptibly().channel();
         HostList.Host host = new HostList.Host(new ServerEntry("rehearsal", 0, 0, ServerState.READY, 1, 0),
@@ -73,7 +73,7 @@
         Node node = new Node(config.apart(new HostList(0, true, List.of(host))), loop);
         Channel listening = node.start().syncUninterruptibly().channel();
         Bootstrap client = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.ALLOCATOR, Node.ALLOCATOR)
+                .option(ChannelOption.ALLOCATOR, Flow.ALLOCATOR)
                 .handler(pipeline(false));
         for (int i = 0; i < CLIENTS; i++) {
             client.connect(listening.localAddress());
--- /dev/null
+++ b/node/src/main/java/kitemux/node/RequestLife.java
@@ -0,0 +1,226 @@
+package kitemux.node;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.netty.handler.codec.http.HttpResponseStatus;
+
+import kitemux.Balancer.Request;
+import kitemux.Balancer.Result;
+import kitemux.node.Counters.Ending;
+
+/** A client's request from its coming until its last attempt has ended. */
+final class RequestLife implements ClientConnection.OpenRequest, ModuleEvents.Owed {
+    private static final byte[] NO_BODY = {};
+
+    /** Whoever keeps all requests. */
+    interface Keeper {
+        /** All of a request has come. */
+        void cameWhole(RequestLife request);
+
+        /** It has its final answer, or needs none any more. */
+        void ended(RequestLife request);
+
+        /** Nothing will be heard of it any more. */
+        void over(RequestLife request);
+    }
+
+    final long id;
+    final ClientRequest request;
+    private final ClientConnection client;
+    private final String className;
+    private final int maxAttempts;
+    private final Keeper keeper;
+    private final Means means;
+    /** By when it wants its answer; not known until all of it has come. */
+    private long deadlineUs = Long.MAX_VALUE;
+    private final List<AttemptLife> attempts = new ArrayList<>(1);
+    private int outstanding;
+    /** The attempt whose message is on a connection, and the one whose answer flows to the client. */
+    private AttemptLife carried;
+    private AttemptLife answering;
+    private boolean whole;
+    private boolean ended;
+
+    RequestLife(long id, ClientRequest request, ClientConnection client, String className, int maxAttempts,
+            Keeper keeper, Means means) {
+        this.id = id;
+        this.request = request;
+        this.client = client;
+        this.className = className;
+        this.maxAttempts = maxAttempts;
+        this.keeper = keeper;
+        this.means = means;
+    }
+
+    String className() {
+        return className;
+    }
+
+    long deadlineUs() {
+        return deadlineUs;
+    }
+
+    boolean isWhole() {
+        return whole;
+    }
+
+    boolean isEnded() {
+        return ended;
+    }
+
+    /** Whether nothing will be heard of it any more. */
+    boolean isOver() {
+        return ended && outstanding == 0;
+    }
+
+    // ---------------------------------------------------------------- its client
+
+    /** Follows the body that flows behind it, or takes it for whole. */
+    void begin() {
+        if (request.upload() == null) {
+            keeper.cameWhole(this);
+            return;
+        }
+        request.upload().follow(new Upload.Listener() {
+            @Override
+            public void bound() {
+                int attempt = carried.number();
+                means.module().tell(RequestLife.this,
+                        module -> module.onFirstByte(means.clock().nowUs(), id, attempt));
+            }
+
+            @Override
+            public void whole() {
+                keeper.cameWhole(RequestLife.this);
+            }
+        });
+    }
+
+    /** Tells the module of it, and that its client wants the answer by then. */
+    void ask(long wantedUs) {
+        ClientRequest.Head head = request.head();
+        means.module().tell(this, module -> {
+            long nowUs = means.clock().nowUs();
+            module.onRequest(nowUs, new Request(id, head.classIndex(), head.tenant(),
+                    Math.max(0, wantedUs - nowUs), head.workUs(), head.retry(), head.key()));
+        });
+    }
+
+    /** All of it has come: its time runs. */
+    void wholeUntil(long atUs) {
+        whole = true;
+        deadlineUs = atUs;
+        attempts.stream().filter(attempt -> !attempt.isOver()).forEach(AttemptLife::cameWhole);
+    }
+
+    @Override
+    public void left() {
+        means.module().tell(this, module -> {
+            end();
+            module.onClientGone(means.clock().nowUs(), id);
+            forgetIfOver();
+        });
+    }
+
+    @Override
+    public void defect() {
+        if (!ended) {
+            answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, NO_BODY, 0);
+            means.module().tell(module -> module.onClientGone(means.clock().nowUs(), id));
+        }
+    }
+
+    // ---------------------------------------------------------------- its attempts
+
+    /** Whether an attempt of this number may still go out. */
+    boolean admits(int number) {
+        return number < maxAttempts && !ended && (request.upload() == null || request.upload().isFree());
+    }
+
+    void send(String serverId, long untilUs) {
+        AttemptLife attempt = new AttemptLife(this, attempts.size(), serverId, untilUs, means);
+        attempts.add(attempt);
+        outstanding++;
+        attempt.begin();
+    }
+
+    void cancel(int attempt) {
+        attempts.get(attempt).cancel();
+    }
+
+    /** An attempt's message is on a connection. */
+    void carriedBy(AttemptLife attempt) {
+        carried = attempt;
+    }
+
+    /** The answer to an attempt flows; true if it flows to the client, as the first one does. */
+    boolean beginAnswer(long length, AttemptLife by) {
+        if (ended || answering != null) {
+            return false;
+        }
+        answering = by;
+        client.beginAnswer(length, by);
+        return true;
+    }
+
+    /** The client, where this attempt's answer flows to it; null where nobody wants what comes. */
+    ClientConnection takes(AttemptLife by) {
+        return answering == by && !ended ? client : null;
+    }
+
+    /** An attempt has ended; its answer may be the final one. */
+    void attemptEnded(AttemptLife attempt, Result result, byte[] body) {
+        if (answering == attempt && !ended) {
+            if (result == Result.OK) {
+                client.endAnswer();
+            } else {
+                client.breakOffAnswer();
+            }
+            means.counters().handled(className, result == Result.OK ? Ending.PASSED : Ending.BAD_GATEWAY);
+            end();
+        } else if (result == Result.OK && !ended && answering == null) {
+            answer(HttpResponseStatus.OK, body, 0);
+        }
+    }
+
+    /** The module is about to hear of an attempt's end. */
+    void attemptTold() {
+        outstanding--;
+        forgetIfOver();
+    }
+
+    // ---------------------------------------------------------------- its end
+
+    /** The one final answer; nothing is sent for the request after it. */
+    void answer(HttpResponseStatus status, byte[] body, long retryAfterUs) {
+        if (ended) {
+            return;
+        }
+        end();
+        means.counters().handled(className, switch (status.code()) {
+            case 200 -> Ending.PASSED;
+            case 503 -> Ending.DROPPED;
+            default -> Ending.BAD_GATEWAY;
+        });
+        client.answer(status, body, retryAfterUs);
+        forgetIfOver();
+    }
+
+    private void end() {
+        if (!ended) {
+            keeper.ended(this);
+        }
+        ended = true;
+        if (!whole && carried != null) {
+            // The rest of what the server was to get will not come.
+            carried.cancel();
+        }
+    }
+
+    private void forgetIfOver() {
+        if (isOver()) {
+            keeper.over(this);
+        }
+    }
+}
--- a/node/src/test/java/kitemux/node/DiscoveryMoveTest.java
+++ b/node/src/test/java/kitemux/node/DiscoveryMoveTest.java
@@ -73,7 +73,7 @@
     }
 
     private void moveTo(String endpoint) throws Exception {
-        var to = NodeConfig.address("discovery", endpoint);
+        var to = Addresses.parse("discovery", endpoint);
         site.loop.execute(() -> discovery.moveTo(to));
     }
 
--- a/node/src/test/java/kitemux/node/Site.java
+++ b/node/src/test/java/kitemux/node/Site.java
@@ -95,7 +95,7 @@
 
     NodeConfig config(String known) throws Exception {
         return new NodeConfig(anyPort(),
-                NodeConfig.address("discovery", discovery.endpoint()), 7, sockets, connIdleUs,
+                Addresses.parse("discovery", discovery.endpoint()), 7, sockets, connIdleUs,
                 HostList.decode(new ObjectMapper().readTree(known), settings.zones, ""),
                 settings, keys, new NodeConfig.Operators(operated ? anyPort() : null, folder, false));
     }
