Play scenarios with processes, and show the main job: fleet demo

Need: the program itself has to be started several times over and hurt, and a newcomer wants to see what it does. Troubles now say whom they struck.

--- a/cli/src/main/java/kitemux/cli/Fleet.java
+++ b/cli/src/main/java/kitemux/cli/Fleet.java
@@ -33,7 +33,7 @@
 import picocli.CommandLine.Spec;
 
 /** Whole fleets: several nodes, what surrounds them, and what goes wrong between them. */
-@Command(name = "fleet", mixinStandardHelpOptions = true,
+@Command(name = "fleet", mixinStandardHelpOptions = true, subcommands = FleetDemo.class,
         description = "Plays fleets of nodes, with what goes wrong between them, before a referee.")
 final class Fleet {
     @Spec
@@ -91,31 +91,32 @@
             @Option(names = "--policy", defaultValue = "module", description = "What decides: ${DEFAULT-VALUE}"
                     + " (default), or a built-in baseline.") String policyName,
             @Option(names = "--json", description = "The outcome as one line of JSON.") boolean json,
+            @Option(names = "--real", description = "With processes on loopback, in real time.") boolean real,
             @Option(names = "--history", paramLabel = "FILE", description = "Writes down all that happens.") Path file)
-            throws IOException {
+            throws IOException, InterruptedException {
         Scenario scenario = played.read();
         Policy policy = policy(policyName);
+        if (real && policy != Policy.MODULE) {
+            throw new ToldException("--policy " + policyName + ": must be module with --real");
+        }
         SimPlay.Progress progress = onTerminal() && !json ? this::showSecond : (nowUs, world) -> { };
         Outcome outcome;
-        if (file == null) {
-            outcome = SimPlay.play(scenario, seed, policy, null, true, progress);
-        } else {
-            try (OutputStream to = new BufferedOutputStream(Files.newOutputStream(file))) {
-                outcome = SimPlay.play(scenario, seed, policy, to, true, progress);
-            }
+        try (OutputStream to = file == null ? null : new BufferedOutputStream(Files.newOutputStream(file))) {
+            outcome = real ? FleetDemo.play(scenario, seed, to, event -> { }, progress)
+                    : SimPlay.play(scenario, seed, policy, to, true, progress);
         }
         if (json) {
             out().println(Outcomes.json(scenario, outcome));
         } else {
             out().println(outcome.score());
-            out().println(outcome.events() + " events, SHA-256 " + outcome.digest());
+            out().println(outcome.events() + " events" + (real ? "" : ", SHA-256 " + outcome.digest()));
             tell(outcome, played);
         }
         return outcome.isKept() ? ExitCode.OK : ExitCode.BROKEN;
     }
 
     private void showSecond(long nowUs, World world) {
-        err().printf(Locale.ROOT, "\r%4d s  %5d requests open", nowUs / 1_000_000, world.open());
+        err().printf(Locale.ROOT, "\r%4d s  %5d requests open", nowUs / 1_000_000, world.waiting());
         err().flush();
     }
 
--- /dev/null
+++ b/cli/src/main/java/kitemux/cli/FleetDemo.java
@@ -0,0 +1,144 @@
+package kitemux.cli;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.stream.Stream;
+
+import kitemux.rig.history.Event;
+import kitemux.rig.history.History;
+import kitemux.rig.play.Outcome;
+import kitemux.rig.play.SimPlay;
+import kitemux.rig.real.DeployFile;
+import kitemux.rig.real.RealPlay;
+import kitemux.rig.scenario.BadScenarioException;
+import kitemux.rig.scenario.Scenario;
+import kitemux.rig.scenario.ScenarioFile;
+import kitemux.rig.trouble.Troubles;
+import kitemux.rig.world.AppServer;
+import kitemux.rig.world.NodePort;
+import kitemux.rig.world.World;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Spec;
+
+/** The main job in half a minute: nodes that route round what goes wrong. */
+@Command(name = "demo", mixinStandardHelpOptions = true, description = "Starts 3 nodes, and stands in for 12 app servers"
+        + " in 3 zones, their list and clients of four classes; then a server turns slow, one fails, one is killed.",
+        footer = {"%nExample: kitemux fleet demo", ExitCode.HELP})
+final class FleetDemo implements Callable<Integer> {
+    private static final String SCENARIO = """
+            name = "demo"
+            length_s = 30
+            [fleet]
+            nodes = 3
+            servers = 12
+            [load]
+            per_second = 40
+            [[trouble]]
+            kind = "slow"
+            at_s = 5
+            length_s = 8
+            part = 0.08
+            size = 8
+            [[trouble]]
+            kind = "fast_errors"
+            at_s = 12
+            length_s = 8
+            part = 0.08
+            size = 1
+            [[trouble]]
+            kind = "crash"
+            at_s = 19
+            length_s = 5
+            part = 0.08
+            """;
+
+    @Spec
+    private CommandSpec spec;
+    /** In the last second, by server and by node. */
+    private final Map<String, Integer> served = new HashMap<>();
+    private final Map<String, Integer> handled = new HashMap<>();
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        PrintWriter out = spec.commandLine().getOut();
+        Scenario scenario;
+        try {
+            scenario = ScenarioFile.parse(SCENARIO, Map.of(), Troubles.names());
+        } catch (BadScenarioException e) {
+            throw new IllegalStateException("the demo's own scenario", e);
+        }
+        out.println("starting 3 nodes; 5 s in a server turns slow, 12 s in one fails all, 19 s in one is killed");
+        out.println("each second, by node and by server: requests served; +n more in hand; ! is down");
+        out.flush();
+        Outcome outcome = play(scenario, 1, null, event -> told(out, event),
+                (nowUs, world) -> show(out, nowUs, world));
+        out.println(outcome.score());
+        outcome.violations().forEach(violation -> out.println("BROKEN " + violation));
+        out.println(outcome.isKept() ? "rules kept" : "rules broken");
+        return outcome.isKept() ? ExitCode.OK : ExitCode.BROKEN;
+    }
+
+    /** Plays a scenario with processes, which are gone when this returns or this process is told to end. */
+    static Outcome play(Scenario scenario, long seed, OutputStream history, History.Reader reader,
+            SimPlay.Progress progress) throws IOException, InterruptedException {
+        DeployFile deploy = DeployFile.find(Path.of(""));
+        Path folder = Files.createTempDirectory("kitemux-fleet");
+        RealPlay play = new RealPlay(scenario, seed, deploy, folder, history, reader);
+        Thread onEnd = new Thread(play::close, "end of the fleet");
+        Runtime.getRuntime().addShutdownHook(onEnd);
+        try {
+            return play.play(progress);
+        } finally {
+            play.close();
+            Runtime.getRuntime().removeShutdownHook(onEnd);
+            delete(folder);
+        }
+    }
+
+    private static void delete(Path folder) throws IOException {
+        List<Path> all;
+        try (Stream<Path> files = Files.walk(folder)) {
+            all = files.sorted(Comparator.reverseOrder()).toList();
+        }
+        for (Path path : all) {
+            Files.deleteIfExists(path);
+        }
+    }
+
+    private void told(PrintWriter out, Event event) {
+        if (event.kind() == Event.Kind.SERVED) {
+            served.merge(event.process(), 1, Integer::sum);
+            handled.merge(event.text("node"), 1, Integer::sum);
+        } else if (event.kind() == Event.Kind.FAULT) {
+            out.println("      " + event.text("kind") + " strikes " + event.text("who"));
+        } else if (event.kind() == Event.Kind.HEALED) {
+            out.println("      " + event.text("kind") + " is over");
+        }
+    }
+
+    private void show(PrintWriter out, long nowUs, World world) {
+        StringBuilder line = new StringBuilder(String.format(Locale.ROOT, "%3d s ", nowUs / 1_000_000));
+        for (NodePort node : world.nodes()) {
+            line.append(String.format(Locale.ROOT, " %s%3d", node.name(), handled.getOrDefault(node.name(), 0)));
+        }
+        line.append(" |");
+        for (AppServer server : world.servers().values()) {
+            line.append(String.format(Locale.ROOT, " %s%s%d+%d", server.id(), server.isUp() ? " " : "!",
+                    served.getOrDefault(server.id(), 0), server.held()));
+        }
+        served.clear();
+        handled.clear();
+        out.println(line);
+        out.flush();
+    }
+}
--- a/rig/src/main/java/kitemux/rig/check/OneAnswer.java
+++ b/rig/src/main/java/kitemux/rig/check/OneAnswer.java
@@ -31,7 +31,9 @@
         } else if (!of.ended && event.atUs() > dueUs(of)) {
             violated(event.atUs(), "answered " + (event.atUs() - dueUs(of)) + " us too late", of.events);
         }
-        if (event.text("answer").equals("OK") && of.events.stream().noneMatch(e -> e.kind() == Kind.SERVED)) {
+        if (event.text("answer").equals("ALIEN")) {
+            violated(event.atUs(), "an answer made for another request", of.events);
+        } else if (event.text("answer").equals("OK") && of.events.stream().noneMatch(e -> e.kind() == Kind.SERVED)) {
             violated(event.atUs(), "an answer that no app server made", of.events);
         }
     }
--- a/rig/src/main/java/kitemux/rig/check/Rules.java
+++ b/rig/src/main/java/kitemux/rig/check/Rules.java
@@ -8,11 +8,15 @@
 public final class Rules {
     private Rules() { }
 
-    /** One of each of the platform's, with the figures of a scenario. */
-    public static List<Checker> of(Scenario scenario) {
+    /**
+     * One of each of the platform's, with the figures of a scenario.
+     *
+     * @param slackUs by how much the times of a history may be off
+     */
+    public static List<Checker> of(Scenario scenario, long slackUs) {
         Scenario.Rules rules = scenario.rules();
-        return List.of(new OneAnswer(rules.answerGraceUs()), new Repeats(scenario),
-                new Drains(rules.drainGraceUs() + rules.answerGraceUs()), new Cordons(),
+        return List.of(new OneAnswer(rules.answerGraceUs() + slackUs), new Repeats(scenario),
+                new Drains(rules.drainGraceUs() + rules.answerGraceUs() + slackUs), new Cordons(),
                 new ColdServers(rules.fallUs()));
     }
 }
--- a/rig/src/main/java/kitemux/rig/play/Outcome.java
+++ b/rig/src/main/java/kitemux/rig/play/Outcome.java
@@ -1,9 +1,13 @@
 package kitemux.rig.play;
 
+import java.util.ArrayList;
 import java.util.List;
 
+import kitemux.rig.check.Checker;
 import kitemux.rig.check.Violation;
+import kitemux.rig.history.History;
 import kitemux.rig.world.Score;
+import kitemux.rig.world.World;
 
 /**
  * What came of one run.
@@ -13,6 +17,18 @@
  * @param digest the sum over its history, or null where that was not asked for
  */
 public record Outcome(long seed, Score.Result score, List<Violation> violations, long events, String digest) {
+    /** Sums up a run that has come to its end. */
+    public static Outcome of(long seed, World world, History history, List<Checker> checkers, long nowUs,
+            boolean summed) {
+        List<Violation> violations = new ArrayList<>();
+        for (Checker checker : checkers) {
+            checker.end(nowUs);
+            checker.violations().stream().limit(1).forEach(violations::add);
+        }
+        return new Outcome(seed, world.score().result(List.copyOf(world.servers().values())), violations,
+                history.events(), summed ? history.digest() : null);
+    }
+
     public boolean isKept() {
         return violations.isEmpty();
     }
--- a/rig/src/main/java/kitemux/rig/play/SimPlay.java
+++ b/rig/src/main/java/kitemux/rig/play/SimPlay.java
@@ -1,18 +1,17 @@
 package kitemux.rig.play;
 
 import java.io.OutputStream;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
 
 import kitemux.rig.check.Checker;
 import kitemux.rig.check.Rules;
-import kitemux.rig.check.Violation;
 import kitemux.rig.history.Event.Kind;
 import kitemux.rig.history.History;
 import kitemux.rig.scenario.Scenario;
 import kitemux.rig.time.Simulator;
 import kitemux.rig.time.Timeline;
+import kitemux.rig.trouble.Struck;
 import kitemux.rig.trouble.Troubles;
 import kitemux.rig.world.Policy;
 import kitemux.rig.world.World;
@@ -40,36 +39,31 @@
     public static Outcome play(Scenario scenario, long seed, Policy policy, OutputStream file, boolean summed,
             Progress progress) {
         Simulator time = new Simulator(seed);
-        List<Checker> checkers = Rules.of(scenario);
+        List<Checker> checkers = Rules.of(scenario, 0);
         History history = new History(time, checkers, file, summed);
         World world = World.simulated(scenario, time, history, policy);
         world.start();
+        world.open();
         strike(world, time);
         for (long second = SECOND_US; second < world.settledUs(); second += SECOND_US) {
             time.playUntil(second);
             progress.second(second, world);
         }
         time.playUntil(world.settledUs());
-        List<Violation> violations = new ArrayList<>();
-        for (Checker checker : checkers) {
-            checker.end(time.nowUs());
-            checker.violations().stream().limit(1).forEach(violations::add);
-        }
-        return new Outcome(seed, world.score().result(List.copyOf(world.servers().values())), violations,
-                history.events(), summed ? history.digest() : null);
+        return Outcome.of(seed, world, history, checkers, time.nowUs(), summed);
     }
 
-    /** Plans the troubles of a world's scenario. */
-    static void strike(World world, Timeline time) {
+    /** Plans the troubles of a world's scenario, as clients begin to ask. */
+    public static void strike(World world, Timeline time) {
         int number = 0;
         for (Scenario.Trouble trouble : world.scenario().troubles()) {
             SplittableRandom random = time.stream("trouble " + number++ + " " + trouble.kind());
-            time.at(trouble.atUs(), () -> {
-                world.history().add("rig", Kind.FAULT, "kind", trouble.kind(), "part", trouble.part(), "size",
-                        trouble.size());
-                Runnable heal = Troubles.named(trouble.kind()).strike(world, trouble, random);
-                time.at(trouble.endUs(), () -> {
-                    heal.run();
+            time.after(trouble.atUs(), () -> {
+                Struck struck = Troubles.named(trouble.kind()).strike(world, trouble, random);
+                world.history().add("rig", Kind.FAULT, "kind", trouble.kind(), "who", String.join(" ", struck.who()),
+                        "size", trouble.size());
+                time.after(trouble.lengthUs(), () -> {
+                    struck.heal().run();
                     world.history().add("rig", Kind.HEALED, "kind", trouble.kind());
                 });
             });
--- /dev/null
+++ b/rig/src/main/java/kitemux/rig/real/RealPlay.java
@@ -0,0 +1,180 @@
+package kitemux.rig.real;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+
+import kitemux.rig.check.Checker;
+import kitemux.rig.check.NoCrash;
+import kitemux.rig.check.Rules;
+import kitemux.rig.history.Event;
+import kitemux.rig.history.History;
+import kitemux.rig.play.Outcome;
+import kitemux.rig.play.SimPlay;
+import kitemux.rig.scenario.Scenario;
+import kitemux.rig.world.NodePort;
+import kitemux.rig.world.World;
+
+/**
+ * Plays a scenario with processes: nodes as the deploy file starts them, and app servers, list and clients as real HTTP
+ * peers in this process, each at an address of its own on loopback.
+ */
+public final class RealPlay implements AutoCloseable {
+    /** The most that are started at once on one machine. */
+    public static final int MOST_NODES = 128;
+    private static final long READY_WITHIN_MS = 60_000;
+    /** How much later than it happened the rig may hear of something. */
+    private static final long SLACK_US = 100_000;
+
+    private final Scenario scenario;
+    private final long seed;
+    private final RealTimeline time;
+    private final EventLoop loop;
+    private final ExecutorService outside = Executors.newFixedThreadPool(8);
+    private final List<Checker> checkers;
+    private final History history;
+    private final World world;
+    private final Map<String, StandInServer> servers = new LinkedHashMap<>();
+    private final List<StandInList> lists = new ArrayList<>();
+    private final List<RealNode> nodes = new ArrayList<>();
+
+    /**
+     * Prepares it; nothing has been started yet but what stands in.
+     *
+     * @param folder for configuration and logs, the caller's
+     * @param file where the history goes, or null
+     * @param reader reads along
+     */
+    public RealPlay(Scenario scenario, long seed, DeployFile deploy, Path folder, OutputStream file,
+            History.Reader reader) throws IOException {
+        if (scenario.fleet().nodes() > MOST_NODES || scenario.fleet().servers() > 60_000) {
+            throw new IOException("fleet.nodes = " + scenario.fleet().nodes() + ": at most " + MOST_NODES
+                    + " processes are started on one machine");
+        }
+        this.scenario = scenario;
+        this.seed = seed;
+        loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        time = new RealTimeline(loop, seed);
+        checkers = new ArrayList<>(Rules.of(scenario, SLACK_US));
+        checkers.add(new NoCrash());
+        List<History.Reader> readers = new ArrayList<>(checkers);
+        readers.add(this::follow);
+        readers.add(reader);
+        history = new History(time, readers, file, false);
+        world = new World(scenario, time, history);
+        Asked asked = new Asked(world, history);
+        int number = 0;
+        for (String id : world.servers().keySet()) {
+            servers.put(id, new StandInServer(world.servers().get(id), "127.2." + number / 250 + "."
+                    + (1 + number % 250), world, time, asked));
+            number++;
+        }
+        for (int i = 0; i < scenario.fleet().nodes(); i++) {
+            StandInList list = new StandInList("127.3.0." + (1 + i), time, scenario.fleet().zones(),
+                    id -> servers.get(id).endpoint());
+            lists.add(list);
+            RealNode node = new RealNode(i, "127.1.0." + (1 + i), world, time, asked, list, deploy, folder, outside);
+            nodes.add(node);
+            world.add(node);
+        }
+    }
+
+    /** An app server's model has come up or gone down: so does its address. */
+    private void follow(Event event) {
+        StandInServer server = servers.get(event.process());
+        if (server != null && (event.kind() == Event.Kind.STARTED || event.kind() == Event.Kind.KILLED)) {
+            // Later, as a machine that falls silent is killed first.
+            time.after(0, server::follow);
+        }
+    }
+
+    /** Plays it from the start to the end. */
+    public Outcome play(SimPlay.Progress progress) throws IOException, InterruptedException {
+        onLoop(() -> {
+            world.start();
+            return null;
+        });
+        await("all nodes to be up", READY_WITHIN_MS, () -> world.nodes().stream().allMatch(NodePort::isReady));
+        long startedUs = onLoop(() -> {
+            world.open();
+            SimPlay.strike(world, time);
+            return time.nowUs();
+        });
+        long endUs = startedUs + world.settledUs();
+        long lastUs = startedUs + scenario.lengthUs();
+        for (long second = 1; time.nowUs() < endUs && time.failure() == null; second++) {
+            if (time.nowUs() > lastUs && onLoop(world::waiting) == 0) {
+                break;
+            }
+            TimeUnit.MICROSECONDS.sleep(Math.max(1, Math.min(endUs, startedUs + second * 1_000_000) - time.nowUs()));
+            long played = second;
+            onLoop(() -> {
+                progress.second(played * 1_000_000, world);
+                return null;
+            });
+        }
+        if (time.failure() != null) {
+            throw new IOException("the run failed", time.failure());
+        }
+        return onLoop(() -> Outcome.of(seed, world, history, checkers, time.nowUs(), false));
+    }
+
+    private <T> T onLoop(Callable<T> what) throws IOException, InterruptedException {
+        try {
+            return loop.submit(what).get();
+        } catch (ExecutionException e) {
+            throw new IOException("the run failed", e.getCause());
+        }
+    }
+
+    private void await(String what, long withinMs, Callable<Boolean> holds)
+            throws IOException, InterruptedException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(withinMs);
+        while (!onLoop(holds)) {
+            if (time.failure() != null) {
+                throw new IOException("the run failed", time.failure());
+            }
+            if (System.nanoTime() > end) {
+                throw new IOException("waited " + withinMs + " ms in vain for " + what);
+            }
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+    }
+
+    /** The ids of the nodes' processes. */
+    public List<Long> processes() {
+        return nodes.stream().map(RealNode::pid).toList();
+    }
+
+    /** Ends all processes and lets go of all sockets. */
+    @Override
+    public void close() {
+        outside.shutdownNow();
+        try {
+            // A start that is under way has to come to its end, or nobody would end what it started.
+            outside.awaitTermination(READY_WITHIN_MS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        loop.submit(() -> { }).awaitUninterruptibly();
+        nodes.parallelStream().forEach(RealNode::close);
+        loop.submit(() -> {
+            servers.values().forEach(StandInServer::close);
+            lists.forEach(StandInList::close);
+        }).awaitUninterruptibly();
+        loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/kitemux/rig/real/StandInList.java
@@ -0,0 +1,156 @@
+package kitemux.rig.real;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+
+import kitemux.Balancer.ListKind;
+import kitemux.Balancer.ServerEntry;
+import kitemux.Balancer.ServerState;
+import kitemux.rig.world.ListModel;
+
+/** Discovery's agent on one node's machine: it answers with what it has been sent, in the platform's form. */
+final class StandInList implements ListModel.Follower {
+    private static final long BEAT_US = 2_000_000;
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final RealTimeline time;
+    private final List<String> zones;
+    private final Function<String, String> endpoints;
+    private final Map<String, ServerEntry> known = new LinkedHashMap<>();
+    private final Set<Watch> watches = new HashSet<>();
+    private final Listener listener;
+    private long version;
+
+    /** @param endpoints addresses of app servers by id */
+    StandInList(String address, RealTimeline time, List<String> zones, Function<String, String> endpoints) {
+        this.time = time;
+        this.zones = zones;
+        this.endpoints = endpoints;
+        listener = new Listener(time.loop(), address, Watch::new);
+        listener.open();
+    }
+
+    String endpoint() {
+        return listener.endpoint();
+    }
+
+    void close() {
+        listener.close();
+    }
+
+    @Override
+    public void listed(long newVersion, ListKind kind, List<ServerEntry> entries) {
+        version = newVersion;
+        if (kind != ListKind.CHANGES) {
+            known.clear();
+        }
+        for (ServerEntry entry : entries) {
+            if (entry.state() == ServerState.GONE) {
+                known.remove(entry.id());
+            } else {
+                known.put(entry.id(), entry);
+            }
+        }
+        if (kind == ListKind.CHANGES) {
+            String line = json(false, entries) + "\n";
+            watches.forEach(watch -> watch.say(line));
+        }
+    }
+
+    /** All that it has, for a configuration file. */
+    ObjectNode whole() {
+        return tree(true, List.copyOf(known.values()));
+    }
+
+    private String json(boolean all, List<ServerEntry> entries) {
+        return tree(all, entries).toString();
+    }
+
+    private ObjectNode tree(boolean all, List<ServerEntry> entries) {
+        ObjectNode list = JSON.createObjectNode().put("rev", version).put("all", all);
+        ArrayNode targets = list.putArray("targets");
+        for (ServerEntry entry : entries) {
+            String state = entry.state() == ServerState.DRAINING ? "Terminating"
+                    : entry.state().name().charAt(0) + entry.state().name().substring(1).toLowerCase(Locale.ROOT);
+            targets.addObject().put("uid", entry.id()).put("endpoint", endpoints.apply(entry.id()))
+                    .put("az", zones.get(entry.zone())).put("model", "stand-in").put("pod_group", entry.cell())
+                    .put("state", state).put("capacity_hint", entry.weight())
+                    .put("boot_ms", entry.startedAtUs() == 0 ? 0 : time.unixMs(entry.startedAtUs()));
+        }
+        return list;
+    }
+
+    /** A connection of the node. */
+    private final class Watch extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private ChannelHandlerContext context;
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext from, FullHttpRequest request) {
+            context = from;
+            if (!request.uri().startsWith("/discovery/hosts")) {
+                end(HttpResponseStatus.NOT_FOUND, "");
+            } else if (!request.uri().contains("watch=1")) {
+                end(HttpResponseStatus.OK, json(true, List.copyOf(known.values())));
+            } else {
+                DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+                HttpUtil.setTransferEncodingChunked(head, true);
+                context.write(head);
+                watches.add(this);
+                say(json(true, List.copyOf(known.values())) + "\n");
+                beat();
+            }
+        }
+
+        private void end(HttpResponseStatus status, String body) {
+            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+                    Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+            context.writeAndFlush(response);
+        }
+
+        private void beat() {
+            time.after(BEAT_US, () -> {
+                if (watches.contains(this)) {
+                    say("\n");
+                    beat();
+                }
+            });
+        }
+
+        private void say(String line) {
+            context.writeAndFlush(new DefaultHttpContent(Unpooled.copiedBuffer(line, StandardCharsets.UTF_8)));
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext gone) {
+            watches.remove(this);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext from, Throwable cause) {
+            from.close();
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/kitemux/rig/real/StandInServer.java
@@ -0,0 +1,156 @@
+package kitemux.rig.real;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.SplittableRandom;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+
+import kitemux.Balancer.Result;
+import kitemux.rig.history.Event.Kind;
+import kitemux.rig.world.AppServer;
+import kitemux.rig.world.Work;
+import kitemux.rig.world.World;
+
+/** An app server's address: real HTTP in front of the model that says how it does. */
+final class StandInServer {
+    private final AppServer server;
+    private final World world;
+    private final RealTimeline time;
+    private final Asked asked;
+    private final SplittableRandom random;
+    private final Listener listener;
+
+    StandInServer(AppServer server, String address, World world, RealTimeline time, Asked asked) {
+        this.server = server;
+        this.world = world;
+        this.time = time;
+        this.asked = asked;
+        random = time.stream("stand-in " + server.id());
+        listener = new Listener(time.loop(), address, Connection::new);
+        // Once from outside the loop, so that its port is known.
+        listener.open();
+    }
+
+    String endpoint() {
+        return listener.endpoint();
+    }
+
+    /** Follows the model: a silent machine's connections stay open, a dead process's are reset. */
+    void follow() {
+        if (server.isUp() || server.isSilent()) {
+            listener.open();
+        } else {
+            listener.close();
+        }
+    }
+
+    void close() {
+        listener.close();
+    }
+
+    /** One connection of a node: one request at a time. */
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private Asked.Attempt attempt;
+        private AppServer.Job job;
+        private boolean counted;
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            counted = server.isSilent() || server.connect("any");
+            if (!counted) {
+                context.close();
+            }
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            String txn = request.headers().get("X-Txn");
+            Asked.Attempt sent = asked.sentOn(txn, server);
+            if (sent == null) {
+                answer(context, HttpResponseStatus.BAD_REQUEST, "no client asked this", false);
+                return;
+            }
+            attempt = sent;
+            int from = sent.node().zone();
+            if (server.isSilent() || world.links().isCut(from, server.zone())) {
+                return;
+            }
+            long leftUs = Long.parseLong(request.headers().get("X-Remaining").replace("u", ""));
+            long untilUs = time.nowUs() + leftUs;
+            time.after(world.links().delay(random, from, server.zone()), () -> {
+                if (attempt == sent) {
+                    job = server.take(new Work(sent.node().name(), sent.request(), sent.number(),
+                            sent.asked().classIndex(), sent.asked().key(),
+                            world.attemptWork(sent.asked(), random), untilUs),
+                            (result, report) -> replied(context, sent, result, report));
+                }
+            });
+        }
+
+        private void replied(ChannelHandlerContext context, Asked.Attempt of, Result result, double[] report) {
+            int to = of.node().zone();
+            if (attempt != of || server.isSilent() || world.links().isCut(server.zone(), to)) {
+                return;
+            }
+            time.after(world.links().delay(random, server.zone(), to), () -> {
+                if (attempt != of) {
+                    return;
+                }
+                end(result);
+                switch (result) {
+                    case OK -> answer(context, HttpResponseStatus.OK, of.txn(), false, report);
+                    case ERROR -> answer(context, HttpResponseStatus.INTERNAL_SERVER_ERROR, "error", false, report);
+                    case FULL -> answer(context, HttpResponseStatus.SERVICE_UNAVAILABLE, "full", true, report);
+                    default -> context.close();
+                }
+            });
+        }
+
+        private void end(Result result) {
+            asked.ended(attempt, server, result);
+            attempt = null;
+            job = null;
+        }
+
+        private void answer(ChannelHandlerContext context, HttpResponseStatus status, String body, boolean away,
+                double... report) {
+            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+                    Unpooled.copiedBuffer(body, StandardCharsets.US_ASCII));
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+            if (away) {
+                response.headers().set("X-Turned-Away", "1");
+            }
+            if (report != null && report.length == 2) {
+                response.headers().set("X-Pressure", String.format(Locale.ROOT, "TEXT queue=%.2f, inflight=%.2f",
+                        report[0], report[1]));
+            }
+            context.writeAndFlush(response);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            if (attempt != null) {
+                server.giveUp(job);
+                end(server.isUp() || server.isSilent() ? Result.CANCELLED : Result.RESET);
+            }
+            if (counted) {
+                server.disconnect("any");
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            // A node that leaves amid an exchange is nothing unusual here.
+            context.close();
+        }
+    }
+}
--- a/rig/src/main/java/kitemux/rig/scenario/Scenario.java
+++ b/rig/src/main/java/kitemux/rig/scenario/Scenario.java
@@ -68,11 +68,7 @@
      * @param part share of what it strikes
      * @param size how hard; each kind tells what it is
      */
-    public record Trouble(String kind, long atUs, long lengthUs, double part, double size, double extra) {
-        public long endUs() {
-            return atUs + lengthUs;
-        }
-    }
+    public record Trouble(String kind, long atUs, long lengthUs, double part, double size, double extra) { }
 
     /** Mean work of a request on a standard core. */
     public double meanWorkUs() {
--- a/rig/src/main/java/kitemux/rig/trouble/Burst.java
+++ b/rig/src/main/java/kitemux/rig/trouble/Burst.java
@@ -1,5 +1,6 @@
 package kitemux.rig.trouble;
 
+import java.util.List;
 import java.util.SplittableRandom;
 
 import kitemux.rig.scenario.Scenario;
@@ -8,8 +9,8 @@
 /** Clients ask {@code size} times as much. */
 final class Burst implements Trouble {
     @Override
-    public Runnable strike(World world, Scenario.Trouble told, SplittableRandom random) {
+    public Struck strike(World world, Scenario.Trouble told, SplittableRandom random) {
         world.burst(told.size());
-        return () -> world.burst(1);
+        return new Struck(List.of("clients"), () -> world.burst(1));
     }
 }
--- a/rig/src/main/java/kitemux/rig/trouble/Cordoned.java
+++ b/rig/src/main/java/kitemux/rig/trouble/Cordoned.java
@@ -10,10 +10,10 @@
 /** Operators take a part of the app servers out by hand at every node, and let them in again. */
 final class Cordoned implements Trouble {
     @Override
-    public Runnable strike(World world, Scenario.Trouble told, SplittableRandom random) {
+    public Struck strike(World world, Scenario.Trouble told, SplittableRandom random) {
         List<AppServer> struck = world.someServers(told.part(), random);
         set(world, struck, true);
-        return () -> set(world, struck, false);
+        return Struck.servers(struck, () -> set(world, struck, false));
     }
 
     private static void set(World world, List<AppServer> struck, boolean out) {
--- a/rig/src/main/java/kitemux/rig/trouble/Crash.java
+++ b/rig/src/main/java/kitemux/rig/trouble/Crash.java
@@ -10,9 +10,9 @@
 /** A part of the app servers' processes are killed, and come back cold. */
 final class Crash implements Trouble {
     @Override
-    public Runnable strike(World world, Scenario.Trouble told, SplittableRandom random) {
+    public Struck strike(World world, Scenario.Trouble told, SplittableRandom random) {
         List<AppServer> struck = world.someServers(told.part(), random);
         struck.forEach(world::killServer);
-        return () -> struck.stream().filter(server -> !server.isUp()).forEach(world::startServer);
+        return Struck.servers(struck, () -> struck.stream().filter(server -> !server.isUp()).forEach(world::startServer));
     }
 }
--- a/rig/src/main/java/kitemux/rig/trouble/FastErrors.java
+++ b/rig/src/main/java/kitemux/rig/trouble/FastErrors.java
@@ -10,9 +10,9 @@
 /** A part of the app servers fail the share {@code size} of what they get, at once. */
 final class FastErrors implements Trouble {
     @Override
-    public Runnable strike(World world, Scenario.Trouble told, SplittableRandom random) {
+    public Struck strike(World world, Scenario.Trouble told, SplittableRandom random) {
         List<AppServer> struck = world.someServers(told.part(), random);
         struck.forEach(server -> server.fail(Math.min(1, told.size())));
-        return () -> struck.forEach(server -> server.fail(0));
+        return Struck.servers(struck, () -> struck.forEach(server -> server.fail(0)));
     }
 }
--- a/rig/src/main/java/kitemux/rig/trouble/HeavyTail.java
+++ b/rig/src/main/java/kitemux/rig/trouble/HeavyTail.java
@@ -1,5 +1,6 @@
 package kitemux.rig.trouble;
 
+import java.util.List;
 import java.util.SplittableRandom;
 
 import kitemux.rig.scenario.Scenario;
@@ -8,8 +9,10 @@
 /** The share {@code extra} of one class takes {@code size} times the work. */
 final class HeavyTail implements Trouble {
     @Override
-    public Runnable strike(World world, Scenario.Trouble told, SplittableRandom random) {
-        world.heavy(random.nextInt(world.scenario().classes().size()), told.extra(), told.size());
-        return () -> world.heavy(-1, 0, 1);
+    public Struck strike(World world, Scenario.Trouble told, SplittableRandom random) {
+        int classIndex = random.nextInt(world.scenario().classes().size());
+        world.heavy(classIndex, told.extra(), told.size());
+        return new Struck(List.of(world.scenario().classes().get(classIndex).name()),
+                () -> world.heavy(-1, 0, 1));
     }
 }
--- a/rig/src/main/java/kitemux/rig/trouble/Herd.java
+++ b/rig/src/main/java/kitemux/rig/trouble/Herd.java
@@ -10,10 +10,10 @@
 /** A part of the nodes are killed at once, and all started again {@code size} seconds later. */
 final class Herd implements Trouble {
     @Override
-    public Runnable strike(World world, Scenario.Trouble told, SplittableRandom random) {
+    public Struck strike(World world, Scenario.Trouble told, SplittableRandom random) {
         List<NodePort> struck = World.some(world.nodes(), told.part(), random);
         struck.forEach(NodePort::kill);
         world.time().after(Math.round(told.size() * 1e6), () -> struck.forEach(NodePort::start));
-        return () -> { };
+        return Struck.nodes(struck);
     }
 }
--- a/rig/src/main/java/kitemux/rig/trouble/ListDown.java
+++ b/rig/src/main/java/kitemux/rig/trouble/ListDown.java
@@ -1,5 +1,6 @@
 package kitemux.rig.trouble;
 
+import java.util.List;
 import java.util.SplittableRandom;
 
 import kitemux.rig.scenario.Scenario;
@@ -8,8 +9,8 @@
 /** Discovery is down: no node hears of any change. */
 final class ListDown implements Trouble {
     @Override
-    public Runnable strike(World world, Scenario.Trouble told, SplittableRandom random) {
+    public Struck strike(World world, Scenario.Trouble told, SplittableRandom random) {
         world.list().setDown(true);
-        return () -> world.list().setDown(false);
+        return new Struck(List.of("list"), () -> world.list().setDown(false));
     }
 }
--- a/rig/src/main/java/kitemux/rig/trouble/Partition.java
+++ b/rig/src/main/java/kitemux/rig/trouble/Partition.java
@@ -1,5 +1,6 @@
 package kitemux.rig.trouble;
 
+import java.util.List;
 import java.util.SplittableRandom;
 
 import kitemux.rig.scenario.Scenario;
@@ -8,10 +9,11 @@
 /** One zone is cut off from the others, both ways, or with {@code size} 2 only outwards; all in it goes on. */
 final class Partition implements Trouble {
     @Override
-    public Runnable strike(World world, Scenario.Trouble told, SplittableRandom random) {
+    public Struck strike(World world, Scenario.Trouble told, SplittableRandom random) {
         int zone = random.nextInt(world.zones());
         cut(world, zone, told.size() == 2, true);
-        return () -> cut(world, zone, told.size() == 2, false);
+        return new Struck(List.of(world.scenario().fleet().zones().get(zone)),
+                () -> cut(world, zone, told.size() == 2, false));
     }
 
     private static void cut(World world, int zone, boolean outwards, boolean off) {
--- a/rig/src/main/java/kitemux/rig/trouble/Release.java
+++ b/rig/src/main/java/kitemux/rig/trouble/Release.java
@@ -14,7 +14,7 @@
     private static final long DOWN_US = 500_000;
 
     @Override
-    public Runnable strike(World world, Scenario.Trouble told, SplittableRandom random) {
+    public Struck strike(World world, Scenario.Trouble told, SplittableRandom random) {
         List<AppServer> struck = world.someServers(told.part(), random);
         long gapUs = told.lengthUs() / struck.size();
         Scenario scenario = world.scenario();
@@ -30,6 +30,6 @@
                 });
             });
         }
-        return () -> { };
+        return Struck.servers(struck, () -> { });
     }
 }
--- a/rig/src/main/java/kitemux/rig/trouble/RollingRestart.java
+++ b/rig/src/main/java/kitemux/rig/trouble/RollingRestart.java
@@ -12,7 +12,7 @@
     private static final long ENDS_WITHIN_US = 3_700_000;
 
     @Override
-    public Runnable strike(World world, Scenario.Trouble told, SplittableRandom random) {
+    public Struck strike(World world, Scenario.Trouble told, SplittableRandom random) {
         List<NodePort> struck = World.some(world.nodes(), told.part(), random);
         long gapUs = told.lengthUs() / struck.size();
         for (int i = 0; i < struck.size(); i++) {
@@ -20,6 +20,6 @@
             world.time().after(i * gapUs, node::end);
             world.time().after(i * gapUs + ENDS_WITHIN_US + 1, node::start);
         }
-        return () -> { };
+        return Struck.nodes(struck);
     }
 }
--- a/rig/src/main/java/kitemux/rig/trouble/Slow.java
+++ b/rig/src/main/java/kitemux/rig/trouble/Slow.java
@@ -10,9 +10,9 @@
 /** A part of the app servers work {@code size} times slower. */
 final class Slow implements Trouble {
     @Override
-    public Runnable strike(World world, Scenario.Trouble told, SplittableRandom random) {
+    public Struck strike(World world, Scenario.Trouble told, SplittableRandom random) {
         List<AppServer> struck = world.someServers(told.part(), random);
         struck.forEach(server -> server.slowBy(Math.max(1, told.size())));
-        return () -> struck.forEach(server -> server.slowBy(1));
+        return Struck.servers(struck, () -> struck.forEach(server -> server.slowBy(1)));
     }
 }
--- a/rig/src/main/java/kitemux/rig/trouble/Trouble.java
+++ b/rig/src/main/java/kitemux/rig/trouble/Trouble.java
@@ -12,7 +12,7 @@
      * Begins it.
      *
      * @param random this trouble's own
-     * @return what ends it
+     * @return whom it struck, and what ends it
      */
-    Runnable strike(World world, Scenario.Trouble told, SplittableRandom random);
+    Struck strike(World world, Scenario.Trouble told, SplittableRandom random);
 }
--- a/rig/src/main/java/kitemux/rig/trouble/Vanish.java
+++ b/rig/src/main/java/kitemux/rig/trouble/Vanish.java
@@ -10,15 +10,15 @@
 /** A part of the app servers' machines fall silent, and come back cold. */
 final class Vanish implements Trouble {
     @Override
-    public Runnable strike(World world, Scenario.Trouble told, SplittableRandom random) {
+    public Struck strike(World world, Scenario.Trouble told, SplittableRandom random) {
         return silence(world, world.someServers(told.part(), random));
     }
 
-    static Runnable silence(World world, List<AppServer> struck) {
+    static Struck silence(World world, List<AppServer> struck) {
         for (AppServer server : struck) {
             server.fallSilent();
             world.list().gone(server.id(), false, true);
         }
-        return () -> struck.stream().filter(AppServer::isSilent).forEach(world::startServer);
+        return Struck.servers(struck, () -> struck.stream().filter(AppServer::isSilent).forEach(world::startServer));
     }
 }
--- a/rig/src/main/java/kitemux/rig/trouble/ZoneLost.java
+++ b/rig/src/main/java/kitemux/rig/trouble/ZoneLost.java
@@ -8,7 +8,7 @@
 /** All app servers of one zone fall silent, and come back cold. */
 final class ZoneLost implements Trouble {
     @Override
-    public Runnable strike(World world, Scenario.Trouble told, SplittableRandom random) {
+    public Struck strike(World world, Scenario.Trouble told, SplittableRandom random) {
         int zone = random.nextInt(world.zones());
         return Vanish.silence(world, world.servers().values().stream().filter(s -> s.zone() == zone).toList());
     }
--- a/rig/src/main/java/kitemux/rig/world/Links.java
+++ b/rig/src/main/java/kitemux/rig/world/Links.java
@@ -20,7 +20,7 @@
     }
 
     /** How long a message takes one way. */
-    long delay(SplittableRandom random, int from, int to) {
+    public long delay(SplittableRandom random, int from, int to) {
         return Chance.delay(random, from == to ? net.sameZoneUs() : net.crossZoneUs(), net.jitter());
     }
 
@@ -38,7 +38,7 @@
         }
     }
 
-    boolean isCut(int from, int to) {
+    public boolean isCut(int from, int to) {
         return !cut.isEmpty() && cut.contains(from + ">" + to);
     }
 }
--- a/rig/src/main/java/kitemux/rig/world/Score.java
+++ b/rig/src/main/java/kitemux/rig/world/Score.java
@@ -21,6 +21,7 @@
     private final double[] askedByClass;
     private final double[] earnedByClass;
     private final Histogram latency = new Histogram(MOST_US, 3);
+    private long openedUs;
     private double lateWorth;
     private double offeredUs;
     private long firstTries;
@@ -41,11 +42,17 @@
         earnedByClass = new double[scenario.classes().size()];
     }
 
-    void sent(boolean crosses) {
+    /** An attempt has left a node. */
+    public void sent(boolean crosses) {
         attempts++;
         crossing += crosses ? 1 : 0;
     }
 
+    /** Clients begin to ask. */
+    void openedAt(long nowUs) {
+        openedUs = nowUs;
+    }
+
     void tried(boolean first, double workUs) {
         tries++;
         firstTries += first ? 1 : 0;
@@ -59,7 +66,7 @@
     /** A client's request is over, and it was still there; how long it took counts only where it was served. */
     void ended(int classIndex, long askedAtUs, long tookUs, NodePort.Answer answer) {
         Scenario.RequestClass cls = scenario.classes().get(classIndex);
-        int second = (int) Math.min(askedAtUs / SECOND_US, askedBySecond.length - 1);
+        int second = (int) Math.min((askedAtUs - openedUs) / SECOND_US, askedBySecond.length - 1);
         askedBySecond[second] += cls.worth();
         askedByClass[classIndex] += cls.worth();
         if (answer == NodePort.Answer.OK) {
--- a/rig/src/main/java/kitemux/rig/world/World.java
+++ b/rig/src/main/java/kitemux/rig/world/World.java
@@ -50,27 +50,37 @@
         }
     }
 
+    /** One more node; before the start. */
+    public void add(NodePort node) {
+        nodes.add(node);
+    }
+
     /** The same with simulated nodes, all of which decide by this policy. */
     public static World simulated(Scenario scenario, Timeline time, History history, Policy policy) {
         World world = new World(scenario, time, history);
         for (int i = 0; i < scenario.fleet().nodes(); i++) {
-            world.nodes.add(new SimNode("n" + i, i % world.zones(), world.settings(i), world, policy));
+            world.add(new SimNode("n" + i, i % world.zones(), world.settings(i), world, policy));
         }
         return world;
     }
 
-    /** Begins: servers warm and known, nodes up, then clients. */
+    /** Begins: servers warm and known to all, then nodes. */
     public void start() {
         for (AppServer server : servers.values()) {
             server.start(true);
             list.begin(entry(server));
         }
         nodes.forEach(NodePort::start);
+    }
+
+    /** Clients begin to ask, until the scenario's time is over. */
+    public void open() {
+        score.openedAt(time.nowUs());
         clients.start();
-        time.at(scenario.lengthUs(), clients::stop);
+        time.after(scenario.lengthUs(), clients::stop);
     }
 
-    /** When all that was asked has had its time. */
+    /** How long after the first was asked all that was asked has had its time. */
     public long settledUs() {
         long longest = scenario.classes().stream().mapToLong(Scenario.RequestClass::deadlineUs).max().orElse(0);
         return scenario.lengthUs() + longest + 4 * scenario.rules().answerGraceUs() + 1_000_000;
@@ -120,12 +130,12 @@
     }
 
     /** Requests whose client still waits. */
-    public long open() {
+    public long waiting() {
         return clients.open();
     }
 
     /** What an attempt takes; it differs from attempt to attempt of the same request. */
-    double attemptWork(NodePort.Try asked, SplittableRandom random) {
+    public double attemptWork(NodePort.Try asked, SplittableRandom random) {
         return asked.workUs() * Chance.spread(random, scenario.classes().get(asked.classIndex()).attemptNoise());
     }
 
--- /dev/null
+++ b/rig/src/test/java/kitemux/rig/real/RealPlayTest.java
@@ -0,0 +1,118 @@
+package kitemux.rig.real;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import kitemux.rig.history.Event;
+import kitemux.rig.history.Event.Kind;
+import kitemux.rig.play.Outcome;
+import kitemux.rig.scenario.Scenario;
+import kitemux.rig.scenario.ScenarioFile;
+import kitemux.rig.trouble.Troubles;
+
+/** Small fleets of processes; the node's jar has been packaged by then. */
+class RealPlayTest {
+    private static final String FLEET = """
+            name = "small"
+            length_s = 5
+            [fleet]
+            nodes = 2
+            servers = 6
+            [load]
+            per_second = 30
+            [net]
+            cross_zone_ms = 1
+            [server]
+            cold_s = 2
+            """;
+
+    @TempDir
+    private Path folder;
+    private final Map<Kind, Integer> counts = new ConcurrentHashMap<>();
+    private final List<Long> processes = new ArrayList<>();
+
+    private Outcome play(String more) throws Exception {
+        Scenario scenario = ScenarioFile.parse(FLEET + more, Map.of(), Troubles.names());
+        try (RealPlay play = new RealPlay(scenario, 1, DeployFile.find(Path.of("")), folder, null, this::count)) {
+            return play.play((nowUs, world) -> {
+                if (processes.isEmpty()) {
+                    processes.addAll(play.processes());
+                }
+            });
+        } finally {
+            for (long pid : processes) {
+                assertFalse(ProcessHandle.of(pid).map(ProcessHandle::isAlive).orElse(false), "left: " + pid);
+            }
+        }
+    }
+
+    private void count(Event event) {
+        counts.merge(event.kind(), 1, Integer::sum);
+    }
+
+    @Test
+    void aFleetOfProcessesServesRoundWhatFailsAndKeepsTheRules() throws Exception {
+        Outcome outcome = play("""
+                [[trouble]]
+                kind = "fast_errors"
+                at_s = 1
+                length_s = 2
+                part = 0.17
+                size = 1
+                [[trouble]]
+                kind = "cordoned"
+                at_s = 2
+                length_s = 2
+                part = 0.17
+                """);
+        assertEquals(List.of(), outcome.violations());
+        assertEquals(2, processes.size());
+        assertTrue(outcome.score().inTime() > 0.5 * outcome.score().firstTries(), outcome.toString());
+        assertEquals(2, counts.get(Kind.CORDON));
+        assertTrue(counts.get(Kind.SEND) >= counts.get(Kind.SERVED));
+    }
+
+    @Test
+    void nodesThatAreKilledAndServersThatCrashComeBack() throws Exception {
+        Outcome outcome = play("""
+                [[trouble]]
+                kind = "herd"
+                at_s = 1
+                part = 0.5
+                size = 0.5
+                [[trouble]]
+                kind = "crash"
+                at_s = 1.5
+                length_s = 1
+                part = 0.17
+                """);
+        assertEquals(List.of(), outcome.violations());
+        // Two nodes and six servers, and one of each again.
+        assertEquals(10, counts.get(Kind.STARTED));
+        assertEquals(2, counts.get(Kind.KILLED));
+    }
+
+    @Test
+    void nodesToldToEndLoseNothing() throws Exception {
+        Outcome outcome = play("""
+                [[trouble]]
+                kind = "rolling_restart"
+                at_s = 0.5
+                length_s = 2
+                part = 0.5
+                """);
+        assertEquals(List.of(), outcome.violations());
+        assertEquals(1, counts.get(Kind.ENDING));
+        assertEquals(1, counts.get(Kind.KILLED));
+    }
+}
