--- a/cli/src/main/java/kitemux/cli/Fleet.java
+++ b/cli/src/main/java/kitemux/cli/Fleet.java
@@ -5,14 +5,18 @@
 import java.io.OutputStream;
 import java.io.PrintWriter;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.NotDirectoryException;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import kitemux.rig.baseline.Baselines;
+import kitemux.rig.baseline.JarPolicy;
 import kitemux.rig.check.Violation;
 import kitemux.rig.play.Comparison;
 import kitemux.rig.play.Outcome;
@@ -20,6 +24,7 @@
 import kitemux.rig.play.Shrink;
 import kitemux.rig.play.SimPlay;
 import kitemux.rig.scenario.BadScenarioException;
+import kitemux.rig.scenario.DayFile;
 import kitemux.rig.scenario.Scenario;
 import kitemux.rig.scenario.ScenarioFile;
 import kitemux.rig.trouble.Troubles;
@@ -36,6 +41,8 @@
 @Command(name = "fleet", mixinStandardHelpOptions = true, subcommands = FleetDemo.class,
         description = "Plays fleets of nodes, with what goes wrong between them, before a referee.")
 final class Fleet {
+    private static final String JAR = "jar:";
+
     @Spec
     private CommandSpec spec;
 
@@ -61,8 +68,15 @@
         private Map<String, String> overrides = new LinkedHashMap<>();
 
         Scenario read() {
+            return read(Map.of());
+        }
+
+        /** With more that goes before the file, and before what is given for all. */
+        Scenario read(Map<String, String> more) {
+            Map<String, String> all = new LinkedHashMap<>(overrides);
+            all.putAll(more);
             try {
-                return ScenarioFile.read(file, overrides, Troubles.names());
+                return ScenarioFile.read(file, all, Troubles.names());
             } catch (BadScenarioException e) {
                 throw new ToldException(file + ":\n  " + String.join("\n  ", e.faults()));
             }
@@ -77,9 +91,17 @@
     }
 
     private static Policy policy(String name) {
+        if (name.startsWith(JAR)) {
+            try {
+                return JarPolicy.of(Path.of(name.substring(JAR.length())));
+            } catch (IOException e) {
+                throw new ToldException("policy " + e.getMessage());
+            }
+        }
         Policy policy = Baselines.named(name);
         if (policy == null) {
-            throw new ToldException("policy " + name + ": must be one of " + String.join(", ", Baselines.names()));
+            throw new ToldException("policy " + name + ": must be " + JAR + "FILE, a node's jar, or one of "
+                    + String.join(", ", Baselines.names()));
         }
         return policy;
     }
@@ -176,19 +198,22 @@
                 ExitCode.HELP})
     int compare(@Mixin Played played,
             @Option(names = "--a", defaultValue = "module", description = "Default: module.") String a,
-            @Option(names = "--b", required = true, description = "module, random, round-robin, least-outstanding,"
-                    + " two-choices, plain or oracle.") String b,
+            @Option(names = "--b", defaultValue = "module", description = "module, random, round-robin,"
+                    + " least-outstanding, two-choices, plain, oracle, or jar:FILE for another build's module.")
+                    String b,
+            @Option(names = "--set-a", paramLabel = "KEY=VALUE", description = "As --set, for A alone.")
+                    Map<String, String> setA,
+            @Option(names = "--set-b", paramLabel = "KEY=VALUE", description = "As --set, for B alone.")
+                    Map<String, String> setB,
             @Option(names = "--seeds", defaultValue = "30", description = "How many; default 30.") int seeds,
             @Option(names = "--first", defaultValue = "1", description = "The first seed; default 1.") long first,
             @Option(names = "--cores", description = "How many at a time; default all.") Integer cores)
             throws InterruptedException {
-        Scenario scenario = played.read();
-        Policy policyA = policy(a);
-        Policy policyB = policy(b);
         atLeastOne("--seeds", seeds);
-        List<Outcome> ofA = Seeds.play(first, seeds, cores(cores), s -> SimPlay.play(scenario, s, policyA), o -> { });
-        List<Outcome> ofB = Seeds.play(first, seeds, cores(cores), s -> SimPlay.play(scenario, s, policyB), o -> { });
-        out().println("G of A = " + a + ", B = " + b + ", " + seeds + " seeds from " + first);
+        List<Outcome> ofA = play(played.read(setA == null ? Map.of() : setA), policy(a), first, seeds, cores(cores));
+        List<Outcome> ofB = play(played.read(setB == null ? Map.of() : setB), policy(b), first, seeds, cores(cores));
+        out().println("G of A = " + a + (setA == null ? "" : " " + setA) + ", B = " + b
+                + (setB == null ? "" : " " + setB) + ", " + seeds + " seeds from " + first);
         out().println(Comparison.of(ofA.stream().mapToDouble(o -> o.score().g()).toArray(),
                 ofB.stream().mapToDouble(o -> o.score().g()).toArray()));
         long brokenA = ofA.stream().filter(o -> !o.isKept()).count();
@@ -197,6 +222,44 @@
         return brokenA == 0 ? ExitCode.OK : ExitCode.BROKEN;
     }
 
+    private static List<Outcome> play(Scenario scenario, Policy policy, long first, int seeds, int cores)
+            throws InterruptedException {
+        return Seeds.play(first, seeds, cores, seed -> SimPlay.play(scenario, seed, policy), outcome -> { });
+    }
+
+    @Command(name = "import", mixinStandardHelpOptions = true, description = "Makes a scenario of a day that the"
+            + " platform's simulator has drawn, and prints it.",
+            footer = "%nExample: kitemux fleet import day.json > scenarios/day.toml")
+    int importDay(@Parameters(paramLabel = "DAY", description = "The day, as JSON.") Path day) {
+        try {
+            out().print(DayFile.toToml(day, day.getFileName().toString().replaceFirst("\\.json$", "")));
+            out().flush();
+            return ExitCode.OK;
+        } catch (IOException e) {
+            throw new ToldException(e.getMessage());
+        }
+    }
+
+    @Command(name = "report", mixinStandardHelpOptions = true, description = "Draws what histories in a folder tell,"
+            + " as one page that needs nothing else.",
+            footer = "%nExample: kitemux fleet report runs/ --out report.html")
+    int report(@Parameters(paramLabel = "DIR", description = "Where *.jsonl are, as --history writes them.") Path folder,
+            @Option(names = "--out", defaultValue = "report.html", description = "Default: report.html.") Path to)
+            throws IOException {
+        List<Path> files;
+        try (Stream<Path> all = Files.list(folder)) {
+            files = all.filter(file -> file.toString().endsWith(".jsonl")).sorted().toList();
+        } catch (NoSuchFileException | NotDirectoryException e) {
+            throw new ToldException(folder + ": is no folder");
+        }
+        if (files.isEmpty()) {
+            throw new ToldException(folder + ": holds no *.jsonl");
+        }
+        Files.writeString(to, Report.of(files));
+        out().println("wrote " + to);
+        return ExitCode.OK;
+    }
+
     @Command(name = "troubles", mixinStandardHelpOptions = true, description = "Lists what can go wrong.")
     int troubles() {
         Troubles.names().forEach(out()::println);
--- a/rig/src/main/java/kitemux/rig/history/Event.java
+++ b/rig/src/main/java/kitemux/rig/history/Event.java
@@ -14,6 +14,8 @@
 
     /** What can happen. Fields stand in {@code docs/rig.md}. */
     public enum Kind {
+        /** A run begins; always the first. */
+        RUN,
         /** A process began, was told to end, was killed, stands still, goes on. */
         STARTED, ENDING, KILLED, PAUSED, RESUMED,
         /** A request reached a node; an attempt left it, and ended; the client has its final answer, or left. */
--- a/rig/src/main/java/kitemux/rig/history/History.java
+++ b/rig/src/main/java/kitemux/rig/history/History.java
@@ -1,6 +1,7 @@
 package kitemux.rig.history;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
@@ -14,6 +15,8 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
 
 import kitemux.rig.history.Event.Kind;
 import kitemux.rig.time.Timeline;
@@ -116,6 +119,42 @@
         return text.append('\n').toString();
     }
 
+    /** Reads a history that was written down, event by event. */
+    public static void read(InputStream from, Reader reader) throws IOException {
+        try (JsonParser json = JSON.createParser(from)) {
+            while (json.nextToken() == JsonToken.START_OBJECT) {
+                reader.read(event(json));
+            }
+        }
+    }
+
+    private static Event event(JsonParser json) throws IOException {
+        long atUs = 0;
+        String process = "";
+        Kind kind = null;
+        Map<String, Object> fields = new LinkedHashMap<>();
+        while (json.nextToken() == JsonToken.FIELD_NAME) {
+            String name = json.currentName();
+            JsonToken token = json.nextToken();
+            switch (name) {
+                case "us" -> atUs = json.getLongValue();
+                case "by" -> process = json.getText();
+                case "what" -> kind = Kind.valueOf(json.getText());
+                default -> fields.put(name, switch (token) {
+                    case VALUE_TRUE -> true;
+                    case VALUE_FALSE -> false;
+                    case VALUE_NUMBER_INT -> json.getLongValue();
+                    case VALUE_NUMBER_FLOAT -> json.getDoubleValue();
+                    default -> json.getText();
+                });
+            }
+        }
+        if (kind == null) {
+            throw new IOException("an event without a kind at " + json.currentLocation().offsetDescription());
+        }
+        return new Event(atUs, process, kind, fields);
+    }
+
     public long events() {
         return events;
     }
--- a/rig/src/main/java/kitemux/rig/play/Shrink.java
+++ b/rig/src/main/java/kitemux/rig/play/Shrink.java
@@ -72,19 +72,17 @@
         Scenario.Fleet f = s.fleet();
         Scenario.Load l = s.load();
         if (f.nodes() > 1) {
-            lesser.add(s.with(s.lengthUs(), new Scenario.Fleet(f.nodes() / 2, f.servers(), f.zones(),
-                    f.readyAfterUs()), l));
+            lesser.add(s.with(s.lengthUs(), f.first(f.nodes() / 2, f.servers()), l));
         }
         if (f.servers() > 1) {
-            lesser.add(s.with(s.lengthUs(), new Scenario.Fleet(f.nodes(), f.servers() / 2, f.zones(),
-                    f.readyAfterUs()), new Scenario.Load(l.perSecond() / 2, l.zoneSkew(), l.keys(), l.keyZipf())));
+            lesser.add(s.with(s.lengthUs(), f.first(f.nodes(), f.servers() / 2),
+                    l.of(l.perSecond() / 2, l.keys())));
         }
         if (l.keys() > 0) {
-            lesser.add(s.with(s.lengthUs(), f, new Scenario.Load(l.perSecond(), l.zoneSkew(), 0, l.keyZipf())));
+            lesser.add(s.with(s.lengthUs(), f, l.of(l.perSecond(), 0)));
         }
         if (l.perSecond() > 1) {
-            lesser.add(s.with(s.lengthUs(), f, new Scenario.Load(l.perSecond() / 2, l.zoneSkew(), l.keys(),
-                    l.keyZipf())));
+            lesser.add(s.with(s.lengthUs(), f, l.of(l.perSecond() / 2, l.keys())));
         }
         return lesser;
     }
--- a/rig/src/main/java/kitemux/rig/play/SimPlay.java
+++ b/rig/src/main/java/kitemux/rig/play/SimPlay.java
@@ -41,6 +41,7 @@
         Simulator time = new Simulator(seed);
         List<Checker> checkers = Rules.of(scenario, 0);
         History history = new History(time, checkers, file, summed);
+        history.add("rig", Kind.RUN, "scenario", scenario.name(), "seed", seed, "real", false);
         World world = World.simulated(scenario, time, history, policy);
         world.start();
         world.open();
--- a/rig/src/main/java/kitemux/rig/real/RealNode.java
+++ b/rig/src/main/java/kitemux/rig/real/RealNode.java
@@ -47,6 +47,7 @@
     private NodeClients clients;
     private Child child;
     private boolean ready;
+    private boolean running;
     private boolean meantToEnd;
     private long sinceUs;
     private int life;
@@ -58,7 +59,7 @@
     RealNode(int number, String address, World world, RealTimeline time, Asked asked, StandInList list,
             DeployFile deploy, Path folder, ExecutorService outside) throws IOException {
         name = "n" + number;
-        zone = number % world.zones();
+        zone = world.scenario().fleet().zoneOfNode(number);
         settings = world.settings(number);
         this.world = world;
         this.time = time;
@@ -147,6 +148,7 @@
             return;
         }
         child = started;
+        running = true;
         clients = new NodeClients(time.loop(), listen, world.scenario().classes());
         lookUntilUp(of);
     }
@@ -188,6 +190,7 @@
 
     private void over(boolean crashed, int code) {
         life++;
+        running = false;
         ready = false;
         sinceUs = time.nowUs();
         world.list().unfollow(name);
@@ -249,8 +252,8 @@
 
             @Override
             public void taken() {
-                // What is written to a process that has just been killed was never its.
-                taken = of == life;
+                // What is written to a process that has been killed was never its, whatever the system says.
+                taken = of == life && running;
                 if (!taken) {
                     return;
                 }
--- a/rig/src/main/java/kitemux/rig/real/RealPlay.java
+++ b/rig/src/main/java/kitemux/rig/real/RealPlay.java
@@ -104,6 +104,7 @@
     /** Plays it from the start to the end. */
     public Outcome play(SimPlay.Progress progress) throws IOException, InterruptedException {
         onLoop(() -> {
+            history.add("rig", Event.Kind.RUN, "scenario", scenario.name(), "seed", seed, "real", true);
             world.start();
             return null;
         });
--- a/rig/src/main/java/kitemux/rig/scenario/Fields.java
+++ b/rig/src/main/java/kitemux/rig/scenario/Fields.java
@@ -126,16 +126,43 @@
         return words;
     }
 
+    /** Numbers from least to most; as many as wanted, or none where left out. */
+    List<Double> numbers(String key, int wanted, double least, double most) {
+        JsonNode value = value(key);
+        List<Double> numbers = new ArrayList<>();
+        value.forEach(number -> numbers.add(number.isNumber() ? number.asDouble() : Double.NaN));
+        boolean fits = value.isArray() && (wanted < 0 || numbers.size() == wanted)
+                && numbers.stream().allMatch(number -> number >= least && number <= most);
+        if (!value.isMissingNode() && !fits) {
+            fault(key, value, "a list of " + (wanted < 0 ? "" : wanted + " ") + "numbers from " + plain(least) + " to "
+                    + plain(most));
+            return List.of();
+        }
+        return numbers;
+    }
+
+    /** The same for whole numbers. */
+    List<Integer> counts(String key, int wanted, int least, int most) {
+        List<Double> numbers = numbers(key, wanted, least, most);
+        if (numbers.stream().anyMatch(number -> number != Math.rint(number))) {
+            fault(key, value(key), "a list of whole numbers");
+            return List.of();
+        }
+        return numbers.stream().map(Double::intValue).toList();
+    }
+
     Fields table(String key) {
         return new Fields(path(key), value(key), faults);
     }
 
     List<Fields> tables(String key) {
         JsonNode value = value(key);
-        if (!value.isMissingNode() && !value.isArray()) {
+        List<Fields> tables = new ArrayList<>();
+        if (value.isObject()) {
+            tables.add(new Fields(path(key), value, faults));
+        } else if (!value.isMissingNode() && !value.isArray()) {
             fault(key, value, "tables, each under [[" + path(key) + "]]");
         }
-        List<Fields> tables = new ArrayList<>();
         for (int i = 0; value.isArray() && i < value.size(); i++) {
             tables.add(new Fields(path(key) + "[" + i + "]", value.get(i), faults));
         }
--- a/rig/src/main/java/kitemux/rig/scenario/Scenario.java
+++ b/rig/src/main/java/kitemux/rig/scenario/Scenario.java
@@ -9,10 +9,37 @@
  * each figure does stands in {@code docs/model.md}.
  */
 public record Scenario(String name, long lengthUs, Fleet fleet, Load load, List<RequestClass> classes, Clients clients,
-        Net net, ServerList list, ServerKind server, Rules rules, Prices prices, List<Trouble> troubles) {
+        Net net, ServerList list, List<ServerKind> servers, Rules rules, Prices prices, List<Trouble> troubles) {
 
-    /** How many there are of each, and where. */
-    public record Fleet(int nodes, int servers, List<String> zones, long readyAfterUs) { }
+    /**
+     * How many there are of each, and where. What stands in the lists is by number; where one is empty, nodes and
+     * servers go round the zones, servers are of the first kind, and their speeds are drawn.
+     */
+    public record Fleet(int nodes, int servers, List<String> zones, long readyAfterUs, List<Integer> nodeZones,
+            List<Integer> serverZones, List<Integer> serverKinds, List<Double> speeds) {
+
+        public int zoneOfNode(int number) {
+            return nodeZones.isEmpty() ? number % zones.size() : nodeZones.get(number);
+        }
+
+        public int zoneOfServer(int number) {
+            return serverZones.isEmpty() ? number % zones.size() : serverZones.get(number);
+        }
+
+        public int kindOfServer(int number) {
+            return serverKinds.isEmpty() ? 0 : serverKinds.get(number);
+        }
+
+        /** With fewer of both, the first ones. */
+        public Fleet first(int fewerNodes, int fewerServers) {
+            return new Fleet(fewerNodes, fewerServers, zones, readyAfterUs, head(nodeZones, fewerNodes),
+                    head(serverZones, fewerServers), head(serverKinds, fewerServers), head(speeds, fewerServers));
+        }
+
+        private static <T> List<T> head(List<T> of, int count) {
+            return of.isEmpty() ? of : of.subList(0, count);
+        }
+    }
 
     /**
      * What clients ask for.
@@ -21,8 +48,17 @@
      * @param zoneSkew by how much the busiest zone has more than the mean, and the quietest less
      * @param keys things that requests are about; 0 for none
      * @param keyZipf how uneven these are asked for
+     * @param zoneShares in place of the skew, where not empty: what part each zone's clients ask for
+     * @param shape by how much more or less is asked for in each second; from its last on, as in that
      */
-    public record Load(double perSecond, double zoneSkew, int keys, double keyZipf) { }
+    public record Load(double perSecond, double zoneSkew, int keys, double keyZipf, List<Double> zoneShares,
+            List<Double> shape) {
+
+        /** With this much asked for, and so many keys. */
+        public Load of(double otherPerSecond, int otherKeys) {
+            return new Load(otherPerSecond, zoneSkew, otherKeys, keyZipf, zoneShares, shape);
+        }
+    }
 
     /**
      * @param share of all first tries
@@ -67,8 +103,10 @@
      *
      * @param part share of what it strikes
      * @param size how hard; each kind tells what it is
+     * @param on the numbers of the servers that it strikes, or of the class, in place of a part by chance; or empty
      */
-    public record Trouble(String kind, long atUs, long lengthUs, double part, double size, double extra) { }
+    public record Trouble(String kind, long atUs, long lengthUs, double part, double size, double extra,
+            List<Integer> on) { }
 
     /** Mean work of a request on a standard core. */
     public double meanWorkUs() {
@@ -77,12 +115,13 @@
 
     /** The same with other troubles. */
     public Scenario with(List<Trouble> others) {
-        return new Scenario(name, lengthUs, fleet, load, classes, clients, net, list, server, rules, prices,
-                List.copyOf(others));
+        return new Scenario(name, lengthUs, fleet, load, classes, clients, net, list, servers, rules,
+                prices, List.copyOf(others));
     }
 
     /** The same with another length, fleet and load. */
     public Scenario with(long length, Fleet other, Load less) {
-        return new Scenario(name, length, other, less, classes, clients, net, list, server, rules, prices, troubles);
+        return new Scenario(name, length, other, less, classes, clients, net, list, servers, rules, prices,
+                troubles);
     }
 }
--- a/rig/src/main/java/kitemux/rig/scenario/ScenarioFile.java
+++ b/rig/src/main/java/kitemux/rig/scenario/ScenarioFile.java
@@ -12,6 +12,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.databind.node.TextNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
@@ -84,10 +85,13 @@
     private static Scenario scenario(Fields file, List<String> kinds) {
         String name = file.text("name", null);
         long length = file.seconds("length_s", 40, 1, DAY_S);
-        Scenario read = new Scenario(name, length, fleet(file.table("fleet")), load(file.table("load")),
-                classes(file.tables("class")), clients(file.table("clients")), net(file.table("net")),
-                list(file.table("list")), server(file.table("server")), rules(file.table("rules")),
-                prices(file.table("prices")), troubles(file.tables("trouble"), kinds, length));
+        List<Scenario.ServerKind> servers = servers(file.tables("server"));
+        Scenario.Fleet fleet = fleet(file.table("fleet"), servers.size());
+        List<Scenario.RequestClass> classes = classes(file.tables("class"));
+        Scenario read = new Scenario(name, length, fleet, load(file.table("load"), fleet.zones().size()), classes,
+                clients(file.table("clients")), net(file.table("net")), list(file.table("list")), servers,
+                rules(file.table("rules")), prices(file.table("prices")),
+                troubles(file.tables("trouble"), kinds, length, Math.max(fleet.servers(), classes.size())));
         file.end();
         double shares = read.classes().stream().mapToDouble(Scenario.RequestClass::share).sum();
         file.require(Math.abs(shares - 1) < 0.001,
@@ -95,17 +99,23 @@
         return read;
     }
 
-    private static Scenario.Fleet fleet(Fields f) {
-        Scenario.Fleet fleet = new Scenario.Fleet(f.count("nodes", 3, 1, 10_000), f.count("servers", 12, 1, 100_000),
-                f.words("zones", List.of("a", "b", "c")), f.seconds("ready_after_s", 1.2, 0, 60));
+    private static Scenario.Fleet fleet(Fields f, int kinds) {
+        int nodes = f.count("nodes", 3, 1, 10_000);
+        int servers = f.count("servers", 12, 1, 100_000);
+        List<String> zones = f.words("zones", List.of("a", "b", "c"));
+        Scenario.Fleet fleet = new Scenario.Fleet(nodes, servers, zones, f.seconds("ready_after_s", 1.2, 0, 60),
+                f.counts("node_zones", nodes, 0, zones.size() - 1),
+                f.counts("server_zones", servers, 0, zones.size() - 1),
+                f.counts("server_kinds", servers, 0, kinds - 1), f.numbers("speeds", servers, 0.001, 1_000));
         f.end();
         return fleet;
     }
 
-    private static Scenario.Load load(Fields f) {
+    private static Scenario.Load load(Fields f, int zones) {
         Scenario.Load load = new Scenario.Load(f.number("per_second", 80, 0.001, 1e6),
                 f.number("zone_skew", 0.3, 0, 1), f.count("keys", 1_000, 0, 10_000_000),
-                f.number("key_zipf", 0.75, 0, 3));
+                f.number("key_zipf", 0.75, 0, 3), f.numbers("zone_shares", zones, 0, 1),
+                f.numbers("shape", -1, 0, 1_000));
         f.end();
         return load;
     }
@@ -159,6 +169,12 @@
         return list;
     }
 
+    private static List<Scenario.ServerKind> servers(List<Fields> tables) {
+        List<Fields> given = tables.isEmpty()
+                ? List.of(new Fields("server", MissingNode.getInstance(), new ArrayList<>())) : tables;
+        return given.stream().map(ScenarioFile::server).toList();
+    }
+
     private static Scenario.ServerKind server(Fields f) {
         Scenario.ServerKind kind = new Scenario.ServerKind(f.count("cores", 1, 1, 1_024), f.number("speed", 0.8, 0.01, 100),
                 f.number("speed_cv", 0.2, 0, 2), f.count("slots", 16, 1, 100_000), f.count("queue", 24, 0, 1_000_000),
@@ -191,12 +207,14 @@
         return prices;
     }
 
-    private static List<Scenario.Trouble> troubles(List<Fields> tables, List<String> kinds, long lengthUs) {
+    private static List<Scenario.Trouble> troubles(List<Fields> tables, List<String> kinds, long lengthUs,
+            int numbers) {
         List<Scenario.Trouble> troubles = new ArrayList<>();
         for (Fields f : tables) {
             troubles.add(new Scenario.Trouble(f.word("kind", null, kinds),
                     f.seconds("at_s", 0, 0, lengthUs / 1e6), f.seconds("length_s", 10, 0, DAY_S),
-                    f.number("part", 0.1, 0, 1), f.number("size", 1, 0, 1_000), f.number("extra", 0, 0, 1_000)));
+                    f.number("part", 0.1, 0, 1), f.number("size", 1, 0, 1_000), f.number("extra", 0, 0, 1_000),
+                    f.counts("on", -1, 0, numbers - 1)));
             f.end();
         }
         return troubles;
--- a/rig/src/main/java/kitemux/rig/trouble/Cordoned.java
+++ b/rig/src/main/java/kitemux/rig/trouble/Cordoned.java
@@ -11,7 +11,7 @@
 final class Cordoned implements Trouble {
     @Override
     public Struck strike(World world, Scenario.Trouble told, SplittableRandom random) {
-        List<AppServer> struck = world.someServers(told.part(), random);
+        List<AppServer> struck = world.struckBy(told, random);
         set(world, struck, true);
         return Struck.servers(struck, () -> set(world, struck, false));
     }
--- a/rig/src/main/java/kitemux/rig/trouble/Crash.java
+++ b/rig/src/main/java/kitemux/rig/trouble/Crash.java
@@ -11,7 +11,7 @@
 final class Crash implements Trouble {
     @Override
     public Struck strike(World world, Scenario.Trouble told, SplittableRandom random) {
-        List<AppServer> struck = world.someServers(told.part(), random);
+        List<AppServer> struck = world.struckBy(told, random);
         struck.forEach(world::killServer);
         return Struck.servers(struck, () -> struck.stream().filter(server -> !server.isUp()).forEach(world::startServer));
     }
--- a/rig/src/main/java/kitemux/rig/trouble/FastErrors.java
+++ b/rig/src/main/java/kitemux/rig/trouble/FastErrors.java
@@ -11,7 +11,7 @@
 final class FastErrors implements Trouble {
     @Override
     public Struck strike(World world, Scenario.Trouble told, SplittableRandom random) {
-        List<AppServer> struck = world.someServers(told.part(), random);
+        List<AppServer> struck = world.struckBy(told, random);
         struck.forEach(server -> server.fail(Math.min(1, told.size())));
         return Struck.servers(struck, () -> struck.forEach(server -> server.fail(0)));
     }
--- a/rig/src/main/java/kitemux/rig/trouble/HeavyTail.java
+++ b/rig/src/main/java/kitemux/rig/trouble/HeavyTail.java
@@ -10,7 +10,8 @@
 final class HeavyTail implements Trouble {
     @Override
     public Struck strike(World world, Scenario.Trouble told, SplittableRandom random) {
-        int classIndex = random.nextInt(world.scenario().classes().size());
+        int classIndex = told.on().isEmpty() ? random.nextInt(world.scenario().classes().size())
+                : told.on().get(0);
         world.heavy(classIndex, told.extra(), told.size());
         return new Struck(List.of(world.scenario().classes().get(classIndex).name()),
                 () -> world.heavy(-1, 0, 1));
--- a/rig/src/main/java/kitemux/rig/trouble/Release.java
+++ b/rig/src/main/java/kitemux/rig/trouble/Release.java
@@ -15,8 +15,8 @@
 
     @Override
     public Struck strike(World world, Scenario.Trouble told, SplittableRandom random) {
-        List<AppServer> struck = world.someServers(told.part(), random);
-        long gapUs = told.lengthUs() / struck.size();
+        List<AppServer> struck = world.struckBy(told, random);
+        long gapUs = told.lengthUs() / Math.max(1, struck.size());
         Scenario scenario = world.scenario();
         long toldUs = scenario.list().changeUs() + scenario.list().spreadUs() + scenario.rules().drainGraceUs();
         for (int i = 0; i < struck.size(); i++) {
--- a/rig/src/main/java/kitemux/rig/trouble/Vanish.java
+++ b/rig/src/main/java/kitemux/rig/trouble/Vanish.java
@@ -11,7 +11,7 @@
 final class Vanish implements Trouble {
     @Override
     public Struck strike(World world, Scenario.Trouble told, SplittableRandom random) {
-        return silence(world, world.someServers(told.part(), random));
+        return silence(world, world.struckBy(told, random));
     }
 
     static Struck silence(World world, List<AppServer> struck) {
--- a/rig/src/main/java/kitemux/rig/world/AppServer.java
+++ b/rig/src/main/java/kitemux/rig/world/AppServer.java
@@ -91,10 +91,11 @@
     }
 
     /** @param fell called once it has fallen over; starting it again is the caller's */
-    AppServer(String id, int zone, Scenario scenario, Timeline time, History history, Runnable fell) {
+    AppServer(int number, String id, Scenario scenario, Timeline time, History history, Runnable fell) {
         this.id = id;
-        this.zone = zone;
-        this.kind = scenario.server();
+        Scenario.Fleet fleet = scenario.fleet();
+        zone = fleet.zoneOfServer(number);
+        kind = scenario.servers().get(fleet.kindOfServer(number));
         this.rules = scenario.rules();
         net = scenario.net();
         meanWorkUs = scenario.meanWorkUs();
@@ -102,7 +103,8 @@
         this.time = time;
         this.history = history;
         random = time.stream("server " + id);
-        speed = kind.speed() * Chance.spread(random, kind.speedCv());
+        double drawn = kind.speed() * Chance.spread(random, kind.speedCv());
+        speed = fleet.speeds().isEmpty() ? drawn : fleet.speeds().get(number);
     }
 
     public String id() {
--- a/rig/src/main/java/kitemux/rig/world/Clients.java
+++ b/rig/src/main/java/kitemux/rig/world/Clients.java
@@ -30,6 +30,7 @@
     private long lastId;
     private long open;
     private boolean over;
+    private long openedUs;
 
     Clients(World world) {
         this.world = world;
@@ -44,6 +45,7 @@
     }
 
     void start() {
+        openedUs = time.nowUs();
         for (int c = 0; c < scenario.classes().size(); c++) {
             for (int zone = 0; zone < scenario.fleet().zones().size(); zone++) {
                 new Source(c, zone).next();
@@ -73,8 +75,18 @@
         heavyBy = by;
     }
 
+    /** By how much more or less is asked for now. */
+    private double shape() {
+        List<Double> shape = scenario.load().shape();
+        int second = (int) Math.min((time.nowUs() - openedUs) / 1_000_000, shape.size() - 1);
+        return burst * (shape.isEmpty() ? 1 : shape.get(second));
+    }
+
     /** Where the zones' shares lie evenly between the quietest and the busiest. */
     private double zoneShare(int zone) {
+        if (!scenario.load().zoneShares().isEmpty()) {
+            return scenario.load().zoneShares().get(zone);
+        }
         int zones = scenario.fleet().zones().size();
         double place = zones == 1 ? 0 : 2.0 * zone / (zones - 1) - 1;
         return (1 - scenario.load().zoneSkew() * place) / zones;
@@ -97,7 +109,8 @@
             if (over || perUs == 0) {
                 return;
             }
-            long wait = Chance.exponential(random, 1 / (perUs * burst));
+            double now = perUs * shape();
+            long wait = now == 0 ? Long.MAX_VALUE : Chance.exponential(random, 1 / now);
             // Chance has no memory: what does not come in this step is drawn anew in the next.
             boolean comes = wait <= STEP_US;
             time.after(Math.min(wait, STEP_US), () -> {
--- a/rig/src/main/java/kitemux/rig/world/World.java
+++ b/rig/src/main/java/kitemux/rig/world/World.java
@@ -46,7 +46,7 @@
         clients = new Clients(this);
         for (int i = 0; i < scenario.fleet().servers(); i++) {
             String id = "s" + i;
-            servers.put(id, new AppServer(id, i % zones(), scenario, time, history, () -> fell(id)));
+            servers.put(id, new AppServer(i, id, scenario, time, history, () -> fell(id)));
         }
     }
 
@@ -59,7 +59,7 @@
     public static World simulated(Scenario scenario, Timeline time, History history, Policy policy) {
         World world = new World(scenario, time, history);
         for (int i = 0; i < scenario.fleet().nodes(); i++) {
-            world.add(new SimNode("n" + i, i % world.zones(), world.settings(i), world, policy));
+            world.add(new SimNode("n" + i, scenario.fleet().zoneOfNode(i), world.settings(i), world, policy));
         }
         return world;
     }
@@ -125,6 +125,7 @@
         return nodes;
     }
 
+    /** How many zones there are. */
     public int zones() {
         return scenario.fleet().zones().size();
     }
@@ -153,8 +154,11 @@
         return mixed.subList(0, Math.min(mixed.size(), Math.max(1, (int) Math.round(part * mixed.size()))));
     }
 
-    public List<AppServer> someServers(double part, SplittableRandom random) {
-        return some(List.copyOf(servers.values()), part, random);
+    /** The servers that a trouble is to strike. */
+    public List<AppServer> struckBy(Scenario.Trouble trouble, SplittableRandom random) {
+        List<AppServer> all = List.copyOf(servers.values());
+        return trouble.on().isEmpty() ? some(all, trouble.part(), random)
+                : trouble.on().stream().filter(number -> number < all.size()).map(all::get).toList();
     }
 
     /** Starts an app server that had ended; it is cold. */
@@ -199,7 +203,7 @@
         Settings settings = new Settings();
         settings.nodes = scenario.fleet().nodes();
         settings.me = me;
-        settings.myZone = me % zones();
+        settings.myZone = scenario.fleet().zoneOfNode(me);
         settings.zones.addAll(scenario.fleet().zones());
         for (Scenario.RequestClass c : scenario.classes()) {
             settings.classes.add(new Balancer.RequestClass(c.name(), c.aimUs(), 0, c.deadlineUs(), c.worth(), 0,
@@ -210,12 +214,12 @@
         settings.cancel = scenario.rules().cancel();
         settings.connectTimeoutUs = scenario.net().connectTimeoutUs();
         settings.drainGraceUs = scenario.rules().drainGraceUs();
-        settings.coldFrom = scenario.server().coldFrom();
-        settings.coldUs = scenario.server().coldUs();
+        settings.coldFrom = scenario.servers().stream().mapToDouble(Scenario.ServerKind::coldFrom).min().orElseThrow();
+        settings.coldUs = scenario.servers().stream().mapToLong(Scenario.ServerKind::coldUs).max().orElseThrow();
         settings.fallMultiple = scenario.rules().fallMultiple();
         settings.fallUs = scenario.rules().fallUs();
         settings.crossZonePrice = scenario.prices().crossZone();
-        settings.warmKeys = scenario.server().keyGain() > 0 && scenario.load().keys() > 0;
+        settings.warmKeys = scenario.servers().stream().anyMatch(kind -> kind.keyGain() > 0) && scenario.load().keys() > 0;
         settings.reportFields.add(ReportField.QUEUED);
         settings.reportFields.add(ReportField.IN_FLIGHT);
         return settings;
