Take out of the rig and the membership core what nothing uses or what stood twice

Need: read once more, the new code held the times of a node's planned end three times, a second reckoning of a rumor's size and counters that nothing read, a copied queue, a condition that said the same twice, and methods without a caller (SIGHUP to a child, settings with other times, rank correlation, all known members). Change: the times stand in NodePort; the rest is gone and comes back with the measurement that needs it.

--- a/node/src/main/java/kitemux/core/membership/Membership.java
+++ b/node/src/main/java/kitemux/core/membership/Membership.java
@@ -1,7 +1,6 @@
 package kitemux.core.membership;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
@@ -108,11 +107,6 @@
         return List.copyOf(byName.values());
     }
 
-    /** All that are known, live or not, but for this process. */
-    public Collection<Member> known() {
-        return others.members().toList();
-    }
-
     /** Grows with each change. */
     public long version() {
         return version;
--- a/node/src/main/java/kitemux/core/membership/Prober.java
+++ b/node/src/main/java/kitemux/core/membership/Prober.java
@@ -122,7 +122,7 @@
             doubt(-1);
         } else {
             // Words that were promised and did not come speak against this member, not against the one asked.
-            doubt(passedOn && wordsDue == 0 ? 0 : passedOn ? wordsDue : 1);
+            doubt(passedOn ? wordsDue : 1);
             if (outside.live(asked) != null) {
                 outside.silent(asked);
             }
--- a/node/src/main/java/kitemux/core/membership/Settings.java
+++ b/node/src/main/java/kitemux/core/membership/Settings.java
@@ -29,19 +29,6 @@
                 3_600_000_000L, 10_000, 1_200, List.copyOf(seeds));
     }
 
-    /** The same with other times. */
-    public Settings paced(long otherPeriodUs, long otherAnswerUs, long otherSyncUs, long otherForgetUs) {
-        return new Settings(name, address, zone, role, otherPeriodUs, otherAnswerUs, askers, suspicionPeriods,
-                suspicionMost, confirmations, healthMost, spread, otherSyncUs, otherForgetUs, mostMembers, roomBytes,
-                seeds);
-    }
-
-    /** The same with or without doubt in itself. */
-    public Settings doubting(int otherHealthMost) {
-        return new Settings(name, address, zone, role, periodUs, answerUs, askers, suspicionPeriods, suspicionMost,
-                confirmations, otherHealthMost, spread, syncUs, forgetUs, mostMembers, roomBytes, seeds);
-    }
-
     /** Throws IllegalArgumentException, naming the field, its value and what is allowed. */
     public void validate() {
         text("name", name);
--- a/rig/src/main/java/kitemux/rig/baseline/Baseline.java
+++ b/rig/src/main/java/kitemux/rig/baseline/Baseline.java
@@ -173,5 +173,4 @@
     public int skipped() {
         return cordoned.size();
     }
-
 }
--- a/rig/src/main/java/kitemux/rig/members/DatagramNet.java
+++ b/rig/src/main/java/kitemux/rig/members/DatagramNet.java
@@ -14,8 +14,6 @@
     private double loss;
     private double duplicated;
     private BiPredicate<String, String> cut = (from, to) -> false;
-    private long sent;
-    private long bytes;
 
     DatagramNet(Timeline time) {
         this.time = time;
@@ -51,9 +49,7 @@
         return delayUs + (jitterUs == 0 ? 0 : random.nextLong(jitterUs));
     }
 
-    void send(String from, String to, int size, Runnable deliver) {
-        sent++;
-        bytes += size;
+    void send(String from, String to, Runnable deliver) {
         int copies = random.nextDouble() < loss ? 0 : random.nextDouble() < duplicated ? 2 : 1;
         for (int i = 0; i < copies; i++) {
             time.after(delay(), () -> {
@@ -63,14 +59,4 @@
             });
         }
     }
-
-    /** Datagrams so far. */
-    public long sent() {
-        return sent;
-    }
-
-    /** Their bytes, as the core reckons them: at least what a codec writes. */
-    public long bytes() {
-        return bytes;
-    }
 }
--- a/rig/src/main/java/kitemux/rig/members/MembersWorld.java
+++ b/rig/src/main/java/kitemux/rig/members/MembersWorld.java
@@ -28,8 +28,6 @@
     private final Map<String, Long> digests = new HashMap<>();
     private final Checker converged;
     private final List<Death> deaths = new ArrayList<>();
-    private long suspicions;
-    private long exchanges;
 
     /** Somebody was held for dead by somebody. */
     public record Death(long atUs, String by, String who, boolean was) { }
@@ -106,18 +104,12 @@
         history.add("rig", Kind.FAULT, "kind", what);
     }
 
-    void exchanged(int rumors) {
-        exchanges++;
-    }
-
     void changed(SimMember at, Change change) {
         if (change.kind() == Change.Kind.DIED) {
             SimMember who = members.stream().filter(m -> m.name().equals(change.member().name()) && m.isUp())
                     .findFirst().orElse(null);
             deaths.add(new Death(time.nowUs(), at.name(), change.member().name(),
                     who == null || who.core().self().incarnation().birth() != change.member().incarnation().birth()));
-        } else if (change.kind() == Change.Kind.SUSPECTED) {
-            suspicions++;
         }
         viewed(at);
     }
@@ -144,14 +136,6 @@
         return deaths.stream().filter(death -> !death.was).count();
     }
 
-    public long suspicions() {
-        return suspicions;
-    }
-
-    public long exchanges() {
-        return exchanges;
-    }
-
     /** Whether all that are up hold just these for live. */
     public boolean agree() {
         if (members.stream().filter(SimMember::isUp).mapToLong(m -> m.core().digest()).distinct().count() > 1) {
--- a/rig/src/main/java/kitemux/rig/members/SimMember.java
+++ b/rig/src/main/java/kitemux/rig/members/SimMember.java
@@ -7,7 +7,6 @@
 import java.util.function.Consumer;
 
 import kitemux.core.membership.Change;
-import kitemux.core.membership.Member;
 import kitemux.core.membership.Membership;
 import kitemux.core.membership.Message;
 import kitemux.core.membership.Rumor;
@@ -17,8 +16,8 @@
 
 /** One process of a simulated fleet: the membership core, driven as the program drives it. */
 public final class SimMember {
-    /** Of a datagram beside its rumors: the sender, numbers, the envelope. */
-    private static final int ENVELOPE = 120;
+    /** Events that the system keeps for one that stands still; what comes beyond is lost, as in a full buffer. */
+    private static final int MOST_KEPT = 200;
 
     private final MembersWorld world;
     private final String name;
@@ -29,7 +28,6 @@
     private boolean paused;
     /** What has come while it stood still; the system keeps it. */
     private final List<Runnable> kept = new ArrayList<>();
-    private static final int MOST_KEPT = 200;
     private Timer wake;
     private int life;
     private long clockOffUs;
@@ -59,10 +57,6 @@
         return up;
     }
 
-    public boolean isPaused() {
-        return paused;
-    }
-
     /** How often something of this kind was told to its listener. */
     public int count(Change.Kind kind) {
         return changes.getOrDefault(kind, 0);
@@ -142,16 +136,6 @@
         return life;
     }
 
-    private static int size(Message message) {
-        int size = ENVELOPE;
-        for (Rumor rumor : message.rumors()) {
-            Member m = rumor.member();
-            size += 48 + m.name().length() + m.address().length() + m.zone().length() + m.role().length()
-                    + rumor.by().length();
-        }
-        return size;
-    }
-
     private final class Actions implements Membership.Actions {
         private final int of;
 
@@ -161,7 +145,7 @@
 
         @Override
         public void send(String to, Message message) {
-            world.net().send(name, world.nameAt(to), size(message), () -> {
+            world.net().send(name, world.nameAt(to), () -> {
                 SimMember target = world.at(to);
                 if (target != null) {
                     target.deliver(target.life(), core -> core.onMessage(world.time().nowUs(), message));
@@ -172,7 +156,6 @@
         @Override
         public void exchange(String to) {
             List<Rumor> mine = core.state();
-            world.exchanged(mine.size());
             world.time().after(world.net().delay(), () -> {
                 SimMember target = world.at(to);
                 if (target == null || !target.up || target.paused || world.net().isCut(name, target.name)
--- a/rig/src/main/java/kitemux/rig/play/Comparison.java
+++ b/rig/src/main/java/kitemux/rig/play/Comparison.java
@@ -1,7 +1,6 @@
 package kitemux.rig.play;
 
 import java.util.Arrays;
-import java.util.List;
 import java.util.Locale;
 import java.util.SplittableRandom;
 
@@ -39,27 +38,6 @@
         return Arrays.stream(of).average().orElseThrow();
     }
 
-    /** Spearman's coefficient: how far two lists of figures have the same order; ties share their rank. */
-    public static double rankCorrelation(List<Double> a, List<Double> b) {
-        double[] x = ranks(a);
-        double[] y = ranks(b);
-        double mean = (a.size() - 1) / 2.0;
-        double xy = 0;
-        double xx = 0;
-        double yy = 0;
-        for (int i = 0; i < x.length; i++) {
-            xy += (x[i] - mean) * (y[i] - mean);
-            xx += (x[i] - mean) * (x[i] - mean);
-            yy += (y[i] - mean) * (y[i] - mean);
-        }
-        return xy / Math.sqrt(xx * yy);
-    }
-
-    private static double[] ranks(List<Double> of) {
-        return of.stream().mapToDouble(value -> of.stream().filter(other -> other < value).count()
-                + (of.stream().filter(value::equals).count() - 1) / 2.0).toArray();
-    }
-
     @Override
     public String toString() {
         return String.format(Locale.ROOT, "A mean %.4f worst %.4f   B mean %.4f worst %.4f   A - B %+.4f"
--- a/rig/src/main/java/kitemux/rig/real/Child.java
+++ b/rig/src/main/java/kitemux/rig/real/Child.java
@@ -131,11 +131,6 @@
         signal(stop ? "STOP" : "CONT");
     }
 
-    /** SIGHUP. */
-    void hangUp() throws IOException {
-        signal("HUP");
-    }
-
     private void signal(String signal) throws IOException {
         try {
             Process sent = new ProcessBuilder("sh", "-c", "kill -" + signal + " " + pid()).start();
--- a/rig/src/main/java/kitemux/rig/real/RealNode.java
+++ b/rig/src/main/java/kitemux/rig/real/RealNode.java
@@ -24,10 +24,6 @@
 final class RealNode implements NodePort {
     /** How often it is asked whether it is up. */
     private static final long LOOK_US = 50_000;
-    /** After SIGTERM the front deals it nothing new from then on. */
-    private static final long STILL_ASKED_US = 300_000;
-    /** And it is killed at the latest after this. */
-    private static final long MOST_END_US = 3_700_000;
     private static final int CALL_MS = 2_000;
 
     private final String name;
--- a/rig/src/main/java/kitemux/rig/real/StandInServer.java
+++ b/rig/src/main/java/kitemux/rig/real/StandInServer.java
@@ -15,7 +15,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 
 import kitemux.Balancer.Result;
-import kitemux.rig.history.Event.Kind;
 import kitemux.rig.world.AppServer;
 import kitemux.rig.world.Work;
 import kitemux.rig.world.World;
--- a/rig/src/main/java/kitemux/rig/trouble/RollingRestart.java
+++ b/rig/src/main/java/kitemux/rig/trouble/RollingRestart.java
@@ -9,8 +9,6 @@
 
 /** A part of the nodes are told to end and started again, one after the other. */
 final class RollingRestart implements Trouble {
-    private static final long ENDS_WITHIN_US = 3_700_000;
-
     @Override
     public Struck strike(World world, Scenario.Trouble told, SplittableRandom random) {
         List<NodePort> struck = World.some(world.nodes(), told.part(), random);
@@ -18,7 +16,7 @@
         for (int i = 0; i < struck.size(); i++) {
             NodePort node = struck.get(i);
             world.time().after(i * gapUs, node::end);
-            world.time().after(i * gapUs + ENDS_WITHIN_US + 1, node::start);
+            world.time().after(i * gapUs + NodePort.MOST_END_US + 1, node::start);
         }
         return Struck.nodes(struck);
     }
--- a/rig/src/main/java/kitemux/rig/world/AppServer.java
+++ b/rig/src/main/java/kitemux/rig/world/AppServer.java
@@ -176,12 +176,10 @@
         up = false;
         life++;
         history.add(id, Kind.KILLED);
-        inWork.forEach(job -> workWastedUs += job.workUs - Math.max(0, job.doneAt - given));
-        PriorityQueue<Job> broken = new PriorityQueue<>(inWork.comparator());
-        broken.addAll(inWork);
-        inWork.clear();
-        while (!broken.isEmpty()) {
-            end(broken.poll(), Result.RESET);
+        while (!inWork.isEmpty()) {
+            Job broken = inWork.poll();
+            workWastedUs += broken.workUs - Math.max(0, broken.doneAt - given);
+            end(broken, Result.RESET);
         }
         while (!queued.isEmpty()) {
             end(queued.poll(), Result.RESET);
--- a/rig/src/main/java/kitemux/rig/world/NodePort.java
+++ b/rig/src/main/java/kitemux/rig/world/NodePort.java
@@ -2,6 +2,10 @@
 
 /** One node as clients, the front and troubles meet it: a simulated one or a process. */
 public interface NodePort {
+    /** After SIGTERM the front still deals it new requests for so long, as it has yet to notice. */
+    long STILL_ASKED_US = 300_000;
+    /** And it is killed at the latest after this. */
+    long MOST_END_US = 3_700_000;
 
     /** How a request came back to its client. */
     enum Answer {
--- a/rig/src/main/java/kitemux/rig/world/SimNode.java
+++ b/rig/src/main/java/kitemux/rig/world/SimNode.java
@@ -26,11 +26,6 @@
  * module, in no time of its own.
  */
 final class SimNode implements NodePort, Balancer.Actions {
-    /** After SIGTERM new requests still come for so long, as the front has yet to notice. */
-    private static final long STILL_ASKED_US = 300_000;
-    /** By then it has been killed. */
-    private static final long MOST_END_US = 3_700_000;
-
     private final String name;
     private final int zone;
     private final Settings settings;
