--- a/cli/src/main/java/kitemux/cli/Fleet.java
+++ b/cli/src/main/java/kitemux/cli/Fleet.java
@@ -107,14 +107,18 @@
     }
 
     @Command(name = "run", mixinStandardHelpOptions = true, description = "Plays a scenario once.",
-            footer = {"%nExample: kitemux fleet run scenarios/jam.toml --seed 7 --history jam.jsonl", ExitCode.HELP})
+            footer = {"%nExample: kitemux fleet run scenarios/jam.toml --seed 7 --history jam.jsonl",
+                    ExitCode.HELP})
     int run(@Mixin Played played,
-            @Option(names = "--seed", defaultValue = "1", description = "Seed of all chance; default 1.") long seed,
-            @Option(names = "--policy", defaultValue = "module", description = "What decides: ${DEFAULT-VALUE}"
+            @Option(names = "--seed", defaultValue = "1",
+                    description = "Seed of all chance; default 1.") long seed,
+            @Option(names = "--policy", defaultValue = "module",
+                    description = "What decides: ${DEFAULT-VALUE}"
                     + " (default), or a built-in baseline.") String policyName,
             @Option(names = "--json", description = "The outcome as one line of JSON.") boolean json,
             @Option(names = "--real", description = "With processes on loopback, in real time.") boolean real,
-            @Option(names = "--history", paramLabel = "FILE", description = "Writes down all that happens.") Path file)
+            @Option(names = "--history", paramLabel = "FILE",
+                    description = "Writes down all that happens.") Path file)
             throws IOException, InterruptedException {
         Scenario scenario = played.read();
         Policy policy = policy(policyName);
@@ -152,14 +156,18 @@
         }
     }
 
-    @Command(name = "hunt", mixinStandardHelpOptions = true, description = "Plays a scenario with many seeds, looks"
+    @Command(name = "hunt", mixinStandardHelpOptions = true,
+            description = "Plays a scenario with many seeds, looks"
             + " for broken rules, and makes the first that it finds as small as it can.",
             footer = {"%nExample: kitemux fleet hunt scenarios/herd.toml --seeds 1000", ExitCode.HELP})
     int hunt(@Mixin Played played,
-            @Option(names = "--seeds", defaultValue = "100", description = "How many; default 100.") int seeds,
-            @Option(names = "--first", defaultValue = "1", description = "The first seed; default 1.") long first,
+            @Option(names = "--seeds", defaultValue = "100",
+                    description = "How many; default 100.") int seeds,
+            @Option(names = "--first", defaultValue = "1",
+                    description = "The first seed; default 1.") long first,
             @Option(names = "--cores", description = "How many at a time; default all.") Integer cores,
-            @Option(names = "--policy", defaultValue = "module", description = "What decides.") String policyName)
+            @Option(names = "--policy", defaultValue = "module",
+                    description = "What decides.") String policyName)
             throws InterruptedException {
         Scenario scenario = played.read();
         Policy policy = policy(policyName);
@@ -185,33 +193,40 @@
         Shrink.Smallest least = Shrink.shrink(scenario, worst.violations().get(0),
                 lesser -> SimPlay.play(lesser, worst.seed(), policy));
         Scenario s = least.scenario();
-        out().printf(Locale.ROOT, "%nsmallest found in %d plays: %.3f s, %d nodes, %d servers, %.1f requests a"
+        out().printf(Locale.ROOT,
+                "%nsmallest found in %d plays: %.3f s, %d nodes, %d servers, %.1f requests a"
                 + " second, %d keys, troubles %s%n", least.plays(), s.lengthUs() / 1e6, s.fleet().nodes(),
                 s.fleet().servers(), s.load().perSecond(), s.load().keys(), s.troubles());
         out().println(least.violation());
         return ExitCode.BROKEN;
     }
 
-    @Command(name = "compare", mixinStandardHelpOptions = true, description = "Plays a scenario with two policies on"
+    @Command(name = "compare", mixinStandardHelpOptions = true,
+            description = "Plays a scenario with two policies on"
             + " the same seeds.",
-            footer = {"%nExample: kitemux fleet compare scenarios/jam.toml --a module --b two-choices --seeds 30",
+            footer = {"%nExample: kitemux fleet compare scenarios/jam.toml --a module --b two-choices"
+                    + " --seeds 30",
                 ExitCode.HELP})
     int compare(@Mixin Played played,
             @Option(names = "--a", defaultValue = "module", description = "Default: module.") String a,
             @Option(names = "--b", defaultValue = "module", description = "module, random, round-robin,"
-                    + " least-outstanding, two-choices, plain, oracle, or jar:FILE for another build's module.")
+                    + " least-outstanding, two-choices, plain, oracle, or jar:FILE for another build's"
+                    + " module.")
                     String b,
             @Option(names = "--set-a", paramLabel = "KEY=VALUE", description = "As --set, for A alone.")
                     Map<String, String> setA,
             @Option(names = "--set-b", paramLabel = "KEY=VALUE", description = "As --set, for B alone.")
                     Map<String, String> setB,
             @Option(names = "--seeds", defaultValue = "30", description = "How many; default 30.") int seeds,
-            @Option(names = "--first", defaultValue = "1", description = "The first seed; default 1.") long first,
+            @Option(names = "--first", defaultValue = "1",
+                    description = "The first seed; default 1.") long first,
             @Option(names = "--cores", description = "How many at a time; default all.") Integer cores)
             throws InterruptedException {
         atLeastOne("--seeds", seeds);
-        List<Outcome> ofA = play(played.read(setA == null ? Map.of() : setA), policy(a), first, seeds, cores(cores));
-        List<Outcome> ofB = play(played.read(setB == null ? Map.of() : setB), policy(b), first, seeds, cores(cores));
+        List<Outcome> ofA = play(played.read(setA == null ? Map.of() : setA), policy(a), first, seeds,
+                cores(cores));
+        List<Outcome> ofB = play(played.read(setB == null ? Map.of() : setB), policy(b), first, seeds,
+                cores(cores));
         out().println("G of A = " + a + (setA == null ? "" : " " + setA) + ", B = " + b
                 + (setB == null ? "" : " " + setB) + ", " + seeds + " seeds from " + first);
         out().println(Comparison.of(ofA.stream().mapToDouble(o -> o.score().g()).toArray(),
@@ -227,7 +242,8 @@
         return Seeds.play(first, seeds, cores, seed -> SimPlay.play(scenario, seed, policy), outcome -> { });
     }
 
-    @Command(name = "import", mixinStandardHelpOptions = true, description = "Makes a scenario of a day that the"
+    @Command(name = "import", mixinStandardHelpOptions = true,
+            description = "Makes a scenario of a day that the"
             + " platform's simulator has drawn, and prints it.",
             footer = "%nExample: kitemux fleet import day.json > scenarios/day.toml")
     int importDay(@Parameters(paramLabel = "DAY", description = "The day, as JSON.") Path day) {
@@ -240,11 +256,14 @@
         }
     }
 
-    @Command(name = "report", mixinStandardHelpOptions = true, description = "Draws what histories in a folder tell,"
+    @Command(name = "report", mixinStandardHelpOptions = true,
+            description = "Draws what histories in a folder tell,"
             + " as one page that needs nothing else.",
             footer = "%nExample: kitemux fleet report runs/ --out report.html")
-    int report(@Parameters(paramLabel = "DIR", description = "Where *.jsonl are, as --history writes them.") Path folder,
-            @Option(names = "--out", defaultValue = "report.html", description = "Default: report.html.") Path to)
+    int report(@Parameters(paramLabel = "DIR",
+            description = "Where *.jsonl are, as --history writes them.") Path folder,
+            @Option(names = "--out", defaultValue = "report.html",
+                    description = "Default: report.html.") Path to)
             throws IOException {
         List<Path> files;
         try (Stream<Path> all = Files.list(folder)) {
--- a/cli/src/main/java/kitemux/cli/FleetDemo.java
+++ b/cli/src/main/java/kitemux/cli/FleetDemo.java
@@ -31,8 +31,10 @@
 import picocli.CommandLine.Spec;
 
 /** The main job in half a minute: nodes that route round what goes wrong. */
-@Command(name = "demo", mixinStandardHelpOptions = true, description = "Starts 3 nodes, and stands in for 12 app servers"
-        + " in 3 zones, their list and clients of four classes; then a server turns slow, one fails, one is killed.",
+@Command(name = "demo", mixinStandardHelpOptions = true,
+        description = "Starts 3 nodes, and stands in for 12 app servers"
+        + " in 3 zones, their list and clients of four classes; then a server turns slow, one fails, one is"
+        + " killed.",
         footer = {"%nExample: kitemux fleet demo", ExitCode.HELP})
 final class FleetDemo implements Callable<Integer> {
     private static final String SCENARIO = """
@@ -77,7 +79,8 @@
         } catch (BadScenarioException e) {
             throw new IllegalStateException("the demo's own scenario", e);
         }
-        out.println("starting 3 nodes; 5 s in a server turns slow, 12 s in one fails all, 19 s in one is killed");
+        out.println("starting 3 nodes; 5 s in a server turns slow, 12 s in one fails all,"
+                + " 19 s in one is killed");
         out.println("each second, by node and by server: requests served; +n more in hand; ! is down");
         out.flush();
         Outcome outcome = play(scenario, 1, null, event -> told(out, event),
@@ -129,7 +132,8 @@
     private void show(PrintWriter out, long nowUs, World world) {
         StringBuilder line = new StringBuilder(String.format(Locale.ROOT, "%3d s ", nowUs / 1_000_000));
         for (NodePort node : world.nodes()) {
-            line.append(String.format(Locale.ROOT, " %s%3d", node.name(), handled.getOrDefault(node.name(), 0)));
+            line.append(String.format(Locale.ROOT, " %s%3d", node.name(),
+                    handled.getOrDefault(node.name(), 0)));
         }
         line.append(" |");
         for (AppServer server : world.servers().values()) {
--- a/cli/src/main/java/kitemux/cli/Outcomes.java
+++ b/cli/src/main/java/kitemux/cli/Outcomes.java
@@ -23,8 +23,10 @@
         line.put("scenario", scenario.name()).put("seed", outcome.seed()).put("kept", outcome.isKept())
                 .put("g", score.g()).put("whole", score.whole()).put("worstWindow", score.worstWindow())
                 .put("worstClass", score.worstClass()).put("firstTries", score.firstTries())
-                .put("attempts", score.attempts()).put("crossing", score.crossing()).put("inTime", score.inTime())
-                .put("refused", score.refused()).put("failed", score.failed()).put("medianUs", score.medianUs())
+                .put("attempts", score.attempts()).put("crossing", score.crossing())
+                .put("inTime", score.inTime())
+                .put("refused", score.refused()).put("failed", score.failed())
+                .put("medianUs", score.medianUs())
                 .put("p99Us", score.p99Us()).put("events", outcome.events()).put("digest", outcome.digest());
         ArrayNode violations = line.putArray("violations");
         for (Violation violation : outcome.violations()) {
--- a/cli/src/main/java/kitemux/cli/Report.java
+++ b/cli/src/main/java/kitemux/cli/Report.java
@@ -89,9 +89,11 @@
     static String of(List<Path> files) throws IOException {
         // Charts are drawn to memory: there is no screen to ask for.
         System.setProperty("java.awt.headless", "true");
-        StringBuilder page = new StringBuilder("<!doctype html>\n<meta charset=\"utf-8\">\n<title>kitemux fleet</title>\n"
+        StringBuilder page =
+                new StringBuilder("<!doctype html>\n<meta charset=\"utf-8\">\n<title>kitemux fleet</title>\n"
                 + "<style>body{font:14px sans-serif;max-width:" + WIDTH + "px;margin:2em auto}"
-                + "table{border-collapse:collapse}td,th{padding:.2em .8em;text-align:right;border-bottom:1px solid #ddd}"
+                + "table{border-collapse:collapse}"
+                + "td,th{padding:.2em .8em;text-align:right;border-bottom:1px solid #ddd}"
                 + "img{width:100%}</style>\n<h1>Fleet runs</h1>\n");
         for (Path file : files) {
             Told told = new Told();
@@ -107,11 +109,13 @@
         Histogram all = new Histogram(MOST_US, 2);
         told.latencies.values().forEach(all::add);
         page.append("<h2>").append(escaped(told.title.isEmpty() ? file : told.title)).append("</h2>\n<p>")
-                .append(escaped(file)).append(", ").append(told.events).append(" events. Latency of what was served, in"
+                .append(escaped(file)).append(", ").append(told.events)
+                .append(" events. Latency of what was served, in"
                 + " time or late, at the node: median ")
                 .append(String.format(Locale.ROOT, "%.1f ms, 99th percentile %.1f ms, most %.1f ms",
                         all.getValueAtPercentile(50) / 1e3, all.getValueAtPercentile(99) / 1e3,
-                        all.getMaxValue() / 1e3)).append(".</p>\n<table><tr><th>answers</th><th></th><th>attempts</th>"
+                        all.getMaxValue() / 1e3))
+                        .append(".</p>\n<table><tr><th>answers</th><th></th><th>attempts</th>"
                 + "<th></th></tr>\n");
         List<Map.Entry<String, TreeMap<Integer, Integer>>> answers = List.copyOf(told.answers.entrySet());
         List<Map.Entry<String, Integer>> outcomes = List.copyOf(told.outcomes.entrySet());
@@ -124,9 +128,11 @@
             page.append("</tr>\n");
         }
         page.append("</table>\n");
-        page.append(plot("Answers a second; what went wrong is marked", "answers", lines(told.answers, told.last), told));
+        page.append(plot("Answers a second; what went wrong is marked", "answers",
+                lines(told.answers, told.last), told));
         page.append(plot("Latency of what was served, ms", "ms", latencies(told), told));
-        page.append(plot("Served a second by server" + (told.served.size() > MOST_LINES ? ", the least and the most"
+        page.append(plot("Served a second by server" + (told.served.size() > MOST_LINES
+                ? ", the least and the most"
                 : ""), "requests", lines(extremes(told.served), told.last), told));
     }
 
@@ -139,11 +145,13 @@
         return text.replace("&", "&amp;").replace("<", "&lt;");
     }
 
-    private static Map<String, TreeMap<Integer, Integer>> extremes(Map<String, TreeMap<Integer, Integer>> of) {
+    private static Map<String, TreeMap<Integer, Integer>> extremes(
+            Map<String, TreeMap<Integer, Integer>> of) {
         if (of.size() <= MOST_LINES) {
             return of;
         }
-        List<String> byCount = of.keySet().stream().sorted((a, b) -> Told.sum(of.get(a)) - Told.sum(of.get(b)))
+        List<String> byCount = of.keySet().stream()
+                .sorted((a, b) -> Told.sum(of.get(a)) - Told.sum(of.get(b)))
                 .toList();
         Map<String, TreeMap<Integer, Integer>> ends = new TreeMap<>();
         for (int i = 0; i < MOST_LINES / 2; i++) {
@@ -170,13 +178,15 @@
         XYSeriesCollection lines = new XYSeriesCollection();
         for (int percent : new int[] {50, 90, 99}) {
             XYSeries line = new XYSeries(percent + "%");
-            told.latencies.forEach((second, of) -> line.add((double) second, of.getValueAtPercentile(percent) / 1e3));
+            told.latencies.forEach((second, of) -> line.add((double) second,
+                    of.getValueAtPercentile(percent) / 1e3));
             lines.addSeries(line);
         }
         return lines;
     }
 
-    private static String plot(String title, String unit, XYSeriesCollection lines, Told told) throws IOException {
+    private static String plot(String title, String unit, XYSeriesCollection lines, Told told)
+            throws IOException {
         JFreeChart chart = ChartFactory.createXYLineChart(title, "s", unit, lines);
         XYPlot plot = chart.getXYPlot();
         plot.setBackgroundPaint(Color.WHITE);
--- a/cli/src/test/java/kitemux/cli/FleetTest.java
+++ b/cli/src/test/java/kitemux/cli/FleetTest.java
@@ -34,21 +34,25 @@
 
     @Test
     void aRunTellsItsOutcomeAsJsonAndTheSameOneEachTime() throws Exception {
-        String[] words = {"fleet", "run", "scenarios/calm.toml", "--seed", "3", "--json", "--set", "length_s=8"};
+        String[] words = {"fleet", "run", "scenarios/calm.toml", "--seed", "3", "--json", "--set",
+                "length_s=8"};
         assertEquals(0, run(words));
         JsonNode first = new ObjectMapper().readTree(out.toString());
         out.getBuffer().setLength(0);
         assertEquals(0, run(words));
         assertEquals(first, new ObjectMapper().readTree(out.toString()));
-        assertTrue(first.path("kept").asBoolean() && first.path("firstTries").asInt() > 100, first.toString());
+        assertTrue(first.path("kept").asBoolean() && first.path("firstTries").asInt() > 100,
+                first.toString());
     }
 
     @Test
     void aBadScenarioIsToldInFullAndEndsWithTwo() throws Exception {
         Path bad = scenario("name = \"x\"\n[fleet]\nnodes = 0\n[load]\nper_sekond = 3\n");
         assertEquals(2, run("fleet", "run", bad.toString()));
-        assertTrue(err.toString().contains("fleet.nodes = 0: must be a number from 1 to 10000"), err.toString());
-        assertTrue(err.toString().contains("load.per_sekond = 3: is not known (meant: per_second?)"), err.toString());
+        assertTrue(err.toString().contains("fleet.nodes = 0: must be a number from 1 to 10000"),
+                err.toString());
+        assertTrue(err.toString().contains("load.per_sekond = 3: is not known (meant: per_second?)"),
+                err.toString());
     }
 
     @Test
@@ -56,7 +60,8 @@
         assertEquals(2, run("fleet", "comapre"));
         assertTrue(err.toString().contains("Did you mean: fleet compare"), err.toString());
         assertEquals(2, run("fleet", "compare", "scenarios/calm.toml", "--b", "best"));
-        assertTrue(err.toString().contains("must be jar:FILE, a node's jar, or one of least-outstanding, module"),
+        assertTrue(err.toString()
+                .contains("must be jar:FILE, a node's jar, or one of least-outstanding, module"),
                 err.toString());
         assertEquals(2, run("fleet", "hunt", "scenarios/calm.toml", "--seeds", "0"));
         assertTrue(err.toString().contains("--seeds 0: must be at least 1"), err.toString());
@@ -65,7 +70,8 @@
     @Test
     void aBrokenRuleEndsWithOneAndTellsHowToPlayItAgain() {
         // Random choice knows of no slow start: with little room cold servers fall over.
-        assertEquals(1, run("fleet", "hunt", "scenarios/herd.toml", "--policy", "random", "--seeds", "2", "--set",
+        assertEquals(1,
+                run("fleet", "hunt", "scenarios/herd.toml", "--policy", "random", "--seeds", "2", "--set",
                 "rules.fall_multiple=0.3"));
         assertTrue(out.toString().contains("BROKEN ColdServers"), out.toString());
         assertTrue(out.toString().contains("again: kitemux fleet run scenarios/herd.toml --seed 1 --set"
--- a/node/src/main/java/kitemux/ServiceQBalancer.java
+++ b/node/src/main/java/kitemux/ServiceQBalancer.java
@@ -89,9 +89,9 @@
     private static final double MOST_TRIALS = 4;
     /** Trials with unsafe requests are this much further apart: each that fails is lost. */
     private static final int UNSAFE_TRIALS = 4;
-    /** Failures in a row from which on a last resort rests, up to about the time that an answer takes, as if it held
-     * its place so long: one that serves three in ten fails so many in one of seventeen runs, one that serves none
-     * always. */
+    /** Failures in a row from which on a last resort rests, up to about the time that an answer takes, as if
+     * it held its place so long: one that serves three in ten fails so many in one of seventeen runs, one
+     * that serves none always. */
     private static final int RESTS_AFTER = REMEMBERED / 2;
     /** Times the usual latency of its class after which an attempt is silent: one in fifty takes longer. */
     private static final double SILENT_BY = 4;
@@ -771,8 +771,8 @@
             Health ofClass = server.byClass.get(call.request.classIndex());
             // Unsafe requests are risked only where no other could tell: for a class of their own.
             boolean due = full ? server.answers && now >= server.restUntil
-                    && now >= server.overall.answeredAt
-                            + Math.max(0, Integer.numberOfTrailingZeros(~server.overall.history) - RESTS_AFTER)
+                    && now >= server.overall.answeredAt + Math.max(0,
+                            Integer.numberOfTrailingZeros(~server.overall.history) - RESTS_AFTER)
                                     * usual.get(call.request.classIndex()).latencyUs / REMEMBERED
                     && call.cls.repeat() == Repeat.SAFE && call.attempts < call.servers.length - 1
                     : call.cls.repeat() == Repeat.UNSAFE
--- a/node/src/main/java/kitemux/core/membership/Incarnation.java
+++ b/node/src/main/java/kitemux/core/membership/Incarnation.java
@@ -1,8 +1,8 @@
 package kitemux.core.membership;
 
 /**
- * Which life of a member, and how often it has contradicted in it what others said. Grows over restarts even where the
- * disk is lost, as the start's time comes first.
+ * Which life of a member, and how often it has contradicted in it what others said. Grows over restarts even
+ * where the disk is lost, as the start's time comes first.
  *
  * @param birth when the life began, in microseconds of Unix time; raised where others know of a later one
  * @param count refutations in this life
--- a/node/src/main/java/kitemux/core/membership/Member.java
+++ b/node/src/main/java/kitemux/core/membership/Member.java
@@ -8,7 +8,8 @@
  * @param zone where it is
  * @param role what it does
  */
-public record Member(String name, String address, String zone, String role, Incarnation incarnation, State state) {
+public record Member(String name, String address, String zone, String role, Incarnation incarnation,
+        State state) {
     /** Longest name, address, zone or role: a datagram has to hold several members. */
     public static final int MOST_NAME = 64;
 
--- a/node/src/main/java/kitemux/core/membership/Membership.java
+++ b/node/src/main/java/kitemux/core/membership/Membership.java
@@ -8,18 +8,24 @@
 import kitemux.core.membership.View.Entry;
 
 /**
- * One process's part in its fleet's membership, and its view of it. A SWIM-family protocol: members are asked in turn,
- * by others too before they are suspected, have time to contradict, and what changes rides on the messages that go anyway.
+ * One process's part in its fleet's membership, and its view of it. A SWIM-family protocol: members are asked
+ * in turn, by others too before they are suspected, have time to contradict, and what changes rides on the
+ * messages that go anyway.
  *
- * <p>All is agreed in the end and nothing at once: two processes may hold different views, events may come in another
- * order elsewhere, and two halves that are cut off from each other both go on. Who needs more asks the list service.
+ * <p>All is agreed in the end and nothing at once: two processes may hold different views, events may come in
+ * another order elsewhere, and two halves that are cut off from each other both go on. Who needs more asks
+ * the list service.
  *
- * <p>Single-threaded; calls its {@link Actions} only from within an event. The same events and seed give the same actions.
+ * <p>Single-threaded; calls its {@link Actions} only from within an event. The same events and seed give the
+ * same actions.
  */
 public final class Membership {
     /** Rounds for which a member that goes is told of, and members told at once. */
     private static final int GOODBYES = 3;
-    /** So often in a period what is new goes to some at random, beside what rides: pings slow down amid trouble. */
+    /**
+     * So often in a period what is new goes to some at random, beside what rides: pings slow down amid
+     * trouble.
+     */
     private static final int GOSSIPS = 4;
     /** While nobody else is known, seeds are tried so many periods apart, on average. */
     private static final int ALONE_PERIODS = 2;
@@ -29,7 +35,10 @@
         /** Sends one datagram. */
         void send(String address, Message message);
 
-        /** Exchanges all that is known with whoever listens there: {@link #state} goes, {@link #onState} comes. */
+        /**
+         * Exchanges all that is known with whoever listens there: {@link #state} goes, {@link #onState}
+         * comes.
+         */
         void exchange(String address);
 
         /** Tells the listener. */
@@ -231,8 +240,9 @@
     }
 
     /**
-     * Asks one that is held for dead, or a seed that nobody live has the address of: two halves that hold each other for
-     * dead find each other again so. For as long as the dead are remembered, and for seeds for ever.
+     * Asks one that is held for dead, or a seed that nobody live has the address of: two halves that hold
+     * each other for dead find each other again so. For as long as the dead are remembered, and for seeds for
+     * ever.
      */
     private void lookForLost() {
         lostAtUs = nowUs + set.periodUs() / 2 + random.nextLong(set.periodUs());
@@ -352,7 +362,8 @@
     }
 
     private void onAck(Message.Ack ack) {
-        if (rival != null && ack.number() == rival.number && ack.from().address().equals(rival.member.address())
+        if (rival != null && ack.number() == rival.number
+                && ack.from().address().equals(rival.member.address())
                 && ack.from().name().equals(self.name())) {
             giveWay(ack.from());
             return;
@@ -363,7 +374,10 @@
 
     // ---------------------------------------------------------------- what is heard
 
-    /** @param old whether it may be long past: a death that was settled elsewhere is put to the one that it is about */
+    /**
+     * @param old whether it may be long past: a death that was settled elsewhere is put to the one that it is
+     * about
+     */
     private void hear(Rumor rumor, boolean old) {
         Member told = rumor.member();
         if (told.name().equals(self.name())) {
@@ -384,7 +398,8 @@
                 send(told.address(), new Message.Ping(prober.number(), told.name(), self, List.of()));
             }
         } else if (entry.suspicion() != null && told.state() == State.SUSPECT
-                && told.incarnation().equals(entry.member().incarnation()) && entry.suspicion().confirm(rumor.by())) {
+                && told.incarnation().equals(entry.member().incarnation())
+                && entry.suspicion().confirm(rumor.by())) {
             rumors.add(rumor);
         }
     }
@@ -448,7 +463,8 @@
         if (entry.member().state() != State.SUSPECT) {
             return;
         }
-        long least = (long) (set.suspicionPeriods() * Math.max(1, Math.log10(others.live() + 1)) * set.periodUs());
+        long least = (long) (set.suspicionPeriods() * Math.max(1,
+                Math.log10(others.live() + 1)) * set.periodUs());
         // Where fewer others are there to confirm it, fewer are waited for.
         int wanted = Math.max(0, Math.min(set.confirmations(), others.live() - 2));
         entry.suspect(new Suspicion(nowUs, least, wanted == 0 ? least : set.suspicionMost() * least, wanted,
--- a/node/src/main/java/kitemux/core/membership/Prober.java
+++ b/node/src/main/java/kitemux/core/membership/Prober.java
@@ -7,8 +7,8 @@
 import java.util.SplittableRandom;
 
 /**
- * Asks one member after the other whether it is there, in an order that gives each its turn, and doubts itself before
- * others: the fewer answers and promised words come back, the more time it gives.
+ * Asks one member after the other whether it is there, in an order that gives each its turn, and doubts
+ * itself before others: the fewer answers and promised words come back, the more time it gives.
  */
 final class Prober {
     /** Requests of others that are under way; beyond it the oldest is forgotten, as if no answer had come. */
@@ -146,7 +146,9 @@
         outside.send(next.address(), new Message.Ping(askedNumber, next.name(), outside.self(), List.of()));
     }
 
-    /** Round robin over an order that is drawn anew for each round: nobody waits for longer than two rounds. */
+    /**
+     * Round robin over an order that is drawn anew for each round: nobody waits for longer than two rounds.
+     */
     private Member next() {
         for (int tried = turns.size(); tried > 0; tried--) {
             if (turn >= turns.size()) {
--- a/node/src/main/java/kitemux/core/membership/Rumors.java
+++ b/node/src/main/java/kitemux/core/membership/Rumors.java
@@ -7,14 +7,18 @@
 import java.util.Map;
 import java.util.TreeSet;
 
-/** What is still to be passed on: of each name the newest only, each a bounded number of times, the freshest first. */
+/**
+ * What is still to be passed on: of each name the newest only, each a bounded number of times, the freshest
+ * first.
+ */
 final class Rumors {
     /** A member in a datagram beside its texts: numbers, lengths and the state. */
     private static final int OVERHEAD = 48;
 
     private final Map<String, Queued> byName = new HashMap<>();
     /** The least often sent first, of these the newest. */
-    private final TreeSet<Queued> inTurn = new TreeSet<>(Comparator.comparingInt((Queued queued) -> queued.sent)
+    private final TreeSet<Queued> inTurn = new TreeSet<>(Comparator.comparingInt((Queued queued) ->
+            queued.sent)
             .thenComparing(queued -> queued.number, Comparator.reverseOrder()));
     private long added;
 
--- a/node/src/main/java/kitemux/core/membership/Settings.java
+++ b/node/src/main/java/kitemux/core/membership/Settings.java
@@ -23,7 +23,10 @@
         int askers, int suspicionPeriods, int suspicionMost, int confirmations, int healthMost, int spread,
         long syncUs, long forgetUs, int mostMembers, int roomBytes, List<String> seeds) {
 
-    /** The defaults; {@code docs/membership.md} tells how each follows from the period and the number of members. */
+    /**
+     * The defaults; {@code docs/membership.md} tells how each follows from the period and the number of
+     * members.
+     */
     public static Settings of(String name, String address, String zone, String role, List<String> seeds) {
         return new Settings(name, address, zone, role, 1_000_000, 400_000, 3, 4, 6, 3, 8, 4, 30_000_000,
                 3_600_000_000L, 10_000, 1_200, List.copyOf(seeds));
--- a/node/src/main/java/kitemux/core/membership/Suspicion.java
+++ b/node/src/main/java/kitemux/core/membership/Suspicion.java
@@ -4,8 +4,8 @@
 import java.util.Set;
 
 /**
- * How long a member has to contradict: long while one alone suspects it, shorter with each other member that does. A
- * slow process that suspects everybody then harms nobody, as it stays alone.
+ * How long a member has to contradict: long while one alone suspects it, shorter with each other member that
+ * does. A slow process that suspects everybody then harms nobody, as it stays alone.
  */
 final class Suspicion {
     private final long startedUs;
--- a/node/src/main/java/kitemux/core/membership/View.java
+++ b/node/src/main/java/kitemux/core/membership/View.java
@@ -7,7 +7,9 @@
 import java.util.Map;
 import java.util.stream.Stream;
 
-/** What a process holds of the others: who is live, who is suspected until when, who has ended and since when. */
+/**
+ * What a process holds of the others: who is live, who is suspected until when, who has ended and since when.
+ */
 final class View {
     private final Map<String, Entry> byName = new LinkedHashMap<>();
     private int live;
--- a/node/src/main/java/kitemux/node/AttemptLife.java
+++ b/node/src/main/java/kitemux/node/AttemptLife.java
@@ -123,7 +123,8 @@
 
     /** Whether the server has neither taken nor given anything for too long. */
     boolean isStalled(long nowUs) {
-        boolean onServer = answer == null ? upload().awaitsServer() && upload().passed() == passed : !heldBack;
+        boolean onServer = answer == null ? upload().awaitsServer() && upload().passed() == passed
+                : !heldBack;
         passed = answer == null ? upload().passed() : 0;
         movedAtUs = onServer ? movedAtUs : nowUs;
         return nowUs - movedAtUs > MOST_SILENCE_US;
--- a/node/src/main/java/kitemux/node/ClientConnection.java
+++ b/node/src/main/java/kitemux/node/ClientConnection.java
@@ -29,8 +29,8 @@
 import io.netty.util.ReferenceCountUtil;
 
 /**
- * A client's connection: one request at a time, further ones wait their turn. It is long because reading, answering
- * and closing share one state, which would otherwise only be passed about.
+ * A client's connection: one request at a time, further ones wait their turn. It is long because reading,
+ * answering and closing share one state, which would otherwise only be passed about.
  */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> implements Flow {
     /** What becomes of a request; told once. */
--- a/node/src/main/java/kitemux/node/ModuleEvents.java
+++ b/node/src/main/java/kitemux/node/ModuleEvents.java
@@ -5,7 +5,10 @@
 
 import kitemux.Balancer;
 
-/** What the module is told, one event after the other: nothing is fed back into it from inside one of its events. */
+/**
+ * What the module is told, one event after the other: nothing is fed back into it from inside one of its
+ * events.
+ */
 final class ModuleEvents {
     /** What an event is about, where something is owed to it. */
     interface Owed {
--- a/node/src/main/java/kitemux/node/Node.java
+++ b/node/src/main/java/kitemux/node/Node.java
@@ -67,7 +67,8 @@
         Sockets sockets = new Sockets(config.sockets(), operated ? ControlServer.SOCKETS : 0);
         pool = new ServerPool(loop, sockets, clock, config.settings().connectTimeoutUs, config.connIdleUs());
         tuning = Tuning.first(config.settings());
-        means = new Means(loop, clock, pool, counters, config.settings().reportFields, module, new HashSet<>());
+        means = new Means(loop, clock, pool, counters, config.settings().reportFields, module,
+                new HashSet<>());
         requests = new Requests(means, () -> tuning);
         clients = new ClientServer(loop, new RequestReader(tuning), sockets, requests);
         discovery = new Discovery(loop, config, Discovery.Patience.USUAL, new Discovery.Listener() {
--- a/node/src/main/java/kitemux/node/ServerConnection.java
+++ b/node/src/main/java/kitemux/node/ServerConnection.java
@@ -257,7 +257,8 @@
         } else {
             body.writeBytes(part);
             if (length() < 0 && gathering == null) {
-                gathering = channel.eventLoop().schedule(this::flow, MOST_GATHERING_MS, TimeUnit.MILLISECONDS);
+                gathering = channel.eventLoop().schedule(this::flow, MOST_GATHERING_MS,
+                        TimeUnit.MILLISECONDS);
             }
         }
     }
--- a/node/src/main/java/kitemux/node/ServerPool.java
+++ b/node/src/main/java/kitemux/node/ServerPool.java
@@ -150,7 +150,8 @@
             upstream.listedReady = host.entry().state() == ServerState.READY;
             upstream.ready = upstream.listedReady && !cordoned.contains(id);
             if (moved || !upstream.ready) {
-                List.copyOf(upstream.idle).stream().filter(c -> !c.isUsable()).forEach(ServerConnection::close);
+                List.copyOf(upstream.idle).stream().filter(c -> !c.isUsable())
+                        .forEach(ServerConnection::close);
             }
             if (!upstream.ready) {
                 turnAway(upstream);
--- a/node/src/test/java/kitemux/BlackHoleTest.java
+++ b/node/src/test/java/kitemux/BlackHoleTest.java
@@ -103,8 +103,9 @@
     }
 
     /**
-     * What is safe goes there as a last resort, at most as often as trials may fail: a twentieth of first tries
-     * and the few that come before it is found out. Where it serves a part, what it fails is the price of that.
+     * What is safe goes there as a last resort, at most as often as trials may fail: a twentieth of first
+     * tries and the few that come before it is found out. Where it serves a part, what it fails is the price
+     * of that.
      */
     @ParameterizedTest
     @CsvSource({"1, 11", "1, 12", "1, 13"})
--- a/rig/src/main/java/kitemux/rig/baseline/Baseline.java
+++ b/rig/src/main/java/kitemux/rig/baseline/Baseline.java
@@ -11,8 +11,9 @@
 import kitemux.Balancer;
 
 /**
- * What all built-in policies have in common: they keep the rules, send each request at once to the server that they
- * choose, and pass on what may be repeated to another choice. They do without limits, queues, ejection and slow start.
+ * What all built-in policies have in common: they keep the rules, send each request at once to the server
+ * that they choose, and pass on what may be repeated to another choice. They do without limits, queues,
+ * ejection and slow start.
  */
 abstract class Baseline implements Balancer {
     private final Actions out;
@@ -72,7 +73,8 @@
     }
 
     private void chooseReady() {
-        ready = listed.values().stream().filter(e -> e.state() == ServerState.READY && !cordoned.contains(e.id()))
+        ready = listed.values().stream().filter(e -> e.state() == ServerState.READY
+                && !cordoned.contains(e.id()))
                 .map(ServerEntry::id).toList();
     }
 
@@ -122,7 +124,8 @@
         call.mayHaveRun |= !outcome.result().neverRan;
         if (outcome.requestEnded()) {
             call.ended = true;
-        } else if (call.mayHaveRun && call.cls.repeat() != Repeat.SAFE || outcome.result() == Result.TIMEOUT) {
+        } else if (call.mayHaveRun && call.cls.repeat() != Repeat.SAFE
+                || outcome.result() == Result.TIMEOUT) {
             call.ended = true;
             out.fail(call.request.id());
         } else if (!call.ended) {
--- a/rig/src/main/java/kitemux/rig/baseline/Baselines.java
+++ b/rig/src/main/java/kitemux/rig/baseline/Baselines.java
@@ -119,7 +119,8 @@
         String draw(List<String> among) {
             int most = among.stream().mapToInt(s -> errors.getOrDefault(s, 0)).max().orElseThrow();
             double effect = Math.floor(Math.pow(1 + most, 1.5));
-            long[] weights = among.stream().mapToLong(s -> (long) Math.ceil(effect / (1 + errors.getOrDefault(s, 0))))
+            long[] weights = among.stream()
+                    .mapToLong(s -> (long) Math.ceil(effect / (1 + errors.getOrDefault(s, 0))))
                     .toArray();
             long at = random.nextLong(Arrays.stream(weights).sum());
             int i = 0;
--- a/rig/src/main/java/kitemux/rig/baseline/JarPolicy.java
+++ b/rig/src/main/java/kitemux/rig/baseline/JarPolicy.java
@@ -13,7 +13,10 @@
 import kitemux.Balancer.Settings;
 import kitemux.rig.world.Policy;
 
-/** The decision module of another build, which has to know the same {@link Balancer}: its classes come from that jar. */
+/**
+ * The decision module of another build, which has to know the same {@link Balancer}: its classes come from
+ * that jar.
+ */
 public final class JarPolicy {
     private static final String MODULE = "kitemux.ServiceQBalancer";
 
--- a/rig/src/main/java/kitemux/rig/check/AckedWrites.java
+++ b/rig/src/main/java/kitemux/rig/check/AckedWrites.java
@@ -7,8 +7,9 @@
 import kitemux.rig.history.Event;
 
 /**
- * What was acknowledged as durable is there after every restart. {@code RETURN} of an op append acknowledges its number;
- * {@code STARTED} of a process with a store tells the highest number that it found, {@code found}.
+ * What was acknowledged as durable is there after every restart. {@code RETURN} of an op append acknowledges
+ * its number; {@code STARTED} of a process with a store tells the highest number that it found, {@code
+ * found}.
  */
 public final class AckedWrites extends Checker {
     private final Map<String, Event> acknowledged = new HashMap<>();
--- a/rig/src/main/java/kitemux/rig/check/Ages.java
+++ b/rig/src/main/java/kitemux/rig/check/Ages.java
@@ -4,7 +4,10 @@
 
 import kitemux.rig.history.Event;
 
-/** No decision used a value that was older than its bound, by the true time at which it was written: {@code USED}. */
+/**
+ * No decision used a value that was older than its bound, by the true time at which it was written: {@code
+ * USED}.
+ */
 public final class Ages extends Checker {
     @Override
     public void read(Event event) {
--- a/rig/src/main/java/kitemux/rig/check/ColdServers.java
+++ b/rig/src/main/java/kitemux/rig/check/ColdServers.java
@@ -9,7 +9,10 @@
 
 import kitemux.rig.history.Event;
 
-/** No cold server is pushed over by nodes that had been told of its start: they made up two thirds of what felled it. */
+/**
+ * No cold server is pushed over by nodes that had been told of its start: they made up two thirds of what
+ * felled it.
+ */
 public final class ColdServers extends Checker {
     private static final double BLAMED_FROM = 2.0 / 3;
 
--- a/rig/src/main/java/kitemux/rig/check/Cordons.java
+++ b/rig/src/main/java/kitemux/rig/check/Cordons.java
@@ -6,7 +6,10 @@
 
 import kitemux.rig.history.Event;
 
-/** Nothing goes to an app server that operators have taken out at that node, from the node's yes to their next word. */
+/**
+ * Nothing goes to an app server that operators have taken out at that node, from the node's yes to their next
+ * word.
+ */
 public final class Cordons extends Checker {
     private final Map<String, Event> out = new HashMap<>();
 
@@ -18,7 +21,8 @@
             case UNCORDON -> out.remove(pair);
             case SEND -> {
                 if (out.containsKey(pair)) {
-                    violated(event.atUs(), "sent to a server that is out by hand", List.of(out.get(pair), event));
+                    violated(event.atUs(), "sent to a server that is out by hand",
+                            List.of(out.get(pair), event));
                 }
             }
             default -> { }
--- a/rig/src/main/java/kitemux/rig/check/Drains.java
+++ b/rig/src/main/java/kitemux/rig/check/Drains.java
@@ -6,7 +6,10 @@
 
 import kitemux.rig.history.Event;
 
-/** Nothing goes to an app server that a node was never told of, or was told drains or is gone, beyond the grace. */
+/**
+ * Nothing goes to an app server that a node was never told of, or was told drains or is gone, beyond the
+ * grace.
+ */
 public final class Drains extends Checker {
     private final long graceUs;
     /** What each node was last told of each server. */
@@ -31,9 +34,11 @@
             case SEND -> {
                 Event last = told.getOrDefault(event.process(), Map.of()).get(event.text("server"));
                 if (last == null) {
-                    violated(event.atUs(), "sent to a server that the node was never told of", List.of(event));
+                    violated(event.atUs(), "sent to a server that the node was never told of",
+                            List.of(event));
                 } else if (!isReady(last) && event.atUs() > last.atUs() + graceUs) {
-                    violated(event.atUs(), "sent " + (event.atUs() - last.atUs()) + " us after word that it is "
+                    violated(event.atUs(),
+                            "sent " + (event.atUs() - last.atUs()) + " us after word that it is "
                             + last.text("state"), List.of(last, event));
                 }
             }
--- a/rig/src/main/java/kitemux/rig/check/Linearizable.java
+++ b/rig/src/main/java/kitemux/rig/check/Linearizable.java
@@ -11,10 +11,10 @@
 import kitemux.rig.history.Event;
 
 /**
- * Reads, writes and compare-and-sets of registers could have happened one after the other, each at some time between its
- * call and its return (Wing and Gong's search, with Lowe's memory of what was seen). A call that never returned may have
- * happened, or not. {@code INVOKE} has call, op (read, write, cas), key, value and, for cas, expect; {@code RETURN} has
- * call, ok, and for a read its value.
+ * Reads, writes and compare-and-sets of registers could have happened one after the other, each at some time
+ * between its call and its return (Wing and Gong's search, with Lowe's memory of what was seen). A call that
+ * never returned may have happened, or not. {@code INVOKE} has call, op (read, write, cas), key, value and,
+ * for cas, expect; {@code RETURN} has call, ok, and for a read its value.
  */
 public final class Linearizable extends Checker {
     /** Calls of one key beyond which the search is not tried: it takes exponential time at worst. */
@@ -125,7 +125,8 @@
         }
         return switch (call.invoked.text("op")) {
             case "read" -> Objects.equals(call.returned.fields().get("value"), value);
-            case "cas" -> call.returned.yes("ok") == Objects.equals(call.invoked.fields().get("expect"), value);
+            case "cas" -> call.returned.yes("ok") == Objects.equals(call.invoked.fields().get("expect"),
+                    value);
             default -> true;
         };
     }
--- a/rig/src/main/java/kitemux/rig/check/NoCrash.java
+++ b/rig/src/main/java/kitemux/rig/check/NoCrash.java
@@ -9,7 +9,8 @@
     @Override
     public void read(Event event) {
         if (event.kind() == Event.Kind.KILLED && event.yes("crash")) {
-            violated(event.atUs(), event.process() + " ended by itself, exit code " + event.fields().get("code"),
+            violated(event.atUs(),
+                    event.process() + " ended by itself, exit code " + event.fields().get("code"),
                     List.of(event));
         }
     }
--- a/rig/src/main/java/kitemux/rig/check/OneAnswer.java
+++ b/rig/src/main/java/kitemux/rig/check/OneAnswer.java
@@ -4,8 +4,8 @@
 import kitemux.rig.history.Event.Kind;
 
 /**
- * Every request that a node took has one final answer within its time and the grace, unless its client left or the node
- * was killed; what is served was served by an app server, for this request.
+ * Every request that a node took has one final answer within its time and the grace, unless its client left
+ * or the node was killed; what is served was served by an app server, for this request.
  */
 public final class OneAnswer extends OpenRequests {
     private final long graceUs;
@@ -33,7 +33,8 @@
         }
         if (event.text("answer").equals("ALIEN")) {
             violated(event.atUs(), "an answer made for another request", of.events);
-        } else if (event.text("answer").equals("OK") && of.events.stream().noneMatch(e -> e.kind() == Kind.SERVED)) {
+        } else if (event.text("answer").equals("OK")
+                && of.events.stream().noneMatch(e -> e.kind() == Kind.SERVED)) {
             violated(event.atUs(), "an answer that no app server made", of.events);
         }
     }
--- a/rig/src/main/java/kitemux/rig/check/OpenRequests.java
+++ b/rig/src/main/java/kitemux/rig/check/OpenRequests.java
@@ -8,7 +8,9 @@
 
 import kitemux.rig.history.Event;
 
-/** Follows requests from their coming, and for a while beyond their end, as more may be heard of them then. */
+/**
+ * Follows requests from their coming, and for a while beyond their end, as more may be heard of them then.
+ */
 abstract class OpenRequests extends Checker {
     /** Ended requests that are remembered: seconds of a large fleet. */
     private static final int MOST_ENDED = 50_000;
--- a/rig/src/main/java/kitemux/rig/check/Repeats.java
+++ b/rig/src/main/java/kitemux/rig/check/Repeats.java
@@ -11,8 +11,8 @@
 import kitemux.rig.scenario.Scenario;
 
 /**
- * What may have run is neither sent again nor called harmless to repeat, unless its class is safe; no more attempts than
- * allowed, no two at once where that is not, and none once the request is over.
+ * What may have run is neither sent again nor called harmless to repeat, unless its class is safe; no more
+ * attempts than allowed, no two at once where that is not, and none once the request is over.
  */
 public final class Repeats extends OpenRequests {
     private final Scenario.Rules rules;
@@ -40,7 +40,8 @@
         }
         if ((event.kind() == Kind.SEND || refused) && classes.get(of.cls()) == Repeat.UNSAFE
                 && mayHaveRun(of.events.subList(0, of.events.size() - 1))) {
-            violated(event.atUs(), (refused ? "refused" : "sent again") + " though it may have run", of.events);
+            violated(event.atUs(), (refused ? "refused" : "sent again") + " though it may have run",
+                    of.events);
         }
     }
 
--- a/rig/src/main/java/kitemux/rig/check/VersionedList.java
+++ b/rig/src/main/java/kitemux/rig/check/VersionedList.java
@@ -9,11 +9,11 @@
 import kitemux.rig.history.Event;
 
 /**
- * A list whose every change has a revision is linearizable: revisions are never used twice, a call that began after
- * another returned sees at least its revision, and a read holds just what the changes up to its revision made. As
- * revisions tell the order, no search is needed. {@code INVOKE} has call, op (put, remove, list), entry and value;
- * {@code RETURN} has call, ok, revision, and for list its digest, made of entries in order as {@code a=1,b=2}. A read
- * that says it may be stale is held to its content only.
+ * A list whose every change has a revision is linearizable: revisions are never used twice, a call that began
+ * after another returned sees at least its revision, and a read holds just what the changes up to its
+ * revision made. As revisions tell the order, no search is needed. {@code INVOKE} has call, op (put, remove,
+ * list), entry and value; {@code RETURN} has call, ok, revision, and for list its digest, made of entries in
+ * order as {@code a=1,b=2}. A read that says it may be stale is held to its content only.
  */
 public final class VersionedList extends Checker {
     private final Map<Long, Event> open = new HashMap<>();
@@ -53,7 +53,8 @@
         } else {
             Event twice = changes.put(revision, invoked);
             if (twice != null) {
-                violated(event.atUs(), "revision " + revision + " used twice", List.of(twice, invoked, event));
+                violated(event.atUs(), "revision " + revision + " used twice",
+                        List.of(twice, invoked, event));
             }
         }
         newest = Math.max(newest, invoked.yes("stale") ? 0 : revision);
@@ -63,10 +64,12 @@
     public void end(long nowUs) {
         reads.forEach((invoked, returned) -> {
             long revision = returned.number("revision");
-            // Changes that never returned may have happened: only where all revisions are known can it be told.
+            // Changes that never returned may have happened: only where all revisions are known can it be
+            // told.
             if (changes.headMap(revision, true).size() == revision && !holds(revision).equals(
                     returned.text("digest"))) {
-                violated(returned.atUs(), "revision " + revision + " holds " + holds(revision), List.of(invoked,
+                violated(returned.atUs(), "revision " + revision + " holds " + holds(revision),
+                        List.of(invoked,
                         returned));
             }
         });
@@ -81,6 +84,7 @@
                 entries.remove(change.text("entry"));
             }
         }
-        return String.join(",", entries.entrySet().stream().map(e -> e.getKey() + "=" + e.getValue()).toList());
+        return String.join(",",
+                entries.entrySet().stream().map(e -> e.getKey() + "=" + e.getValue()).toList());
     }
 }
--- a/rig/src/main/java/kitemux/rig/check/Versions.java
+++ b/rig/src/main/java/kitemux/rig/check/Versions.java
@@ -8,8 +8,8 @@
 
 /**
  * Each watcher sees versions that only grow, and none left out unless what it is given says that it is whole.
- * {@code WATCHED} has version and whole, and from, the version that it follows on. A watcher that starts again may begin
- * anywhere.
+ * {@code WATCHED} has version and whole, and from, the version that it follows on. A watcher that starts
+ * again may begin anywhere.
  */
 public final class Versions extends Checker {
     private final Map<String, Event> last = new HashMap<>();
@@ -24,11 +24,13 @@
                     return;
                 }
                 long seen = before.number("version");
-                if (event.number("version") < seen || event.number("version") == seen && !event.yes("whole")) {
+                if (event.number("version") < seen || event.number("version") == seen
+                        && !event.yes("whole")) {
                     violated(event.atUs(), "version " + event.number("version") + " after " + seen,
                             List.of(before, event));
                 } else if (!event.yes("whole") && event.number("from") != seen) {
-                    violated(event.atUs(), "a gap: changes since " + event.number("from") + " after version " + seen,
+                    violated(event.atUs(),
+                            "a gap: changes since " + event.number("from") + " after version " + seen,
                             List.of(before, event));
                 }
             }
--- a/rig/src/main/java/kitemux/rig/history/Event.java
+++ b/rig/src/main/java/kitemux/rig/history/Event.java
@@ -8,7 +8,8 @@
  * @param atUs microseconds since the run began
  * @param process whose doing it was
  * @param kind what it was
- * @param fields the rest, in the order in which it is written down: text, whole numbers, decimals and yes or no
+ * @param fields the rest, in the order in which it is written down: text, whole numbers, decimals and yes or
+ *    no
  */
 public record Event(long atUs, String process, Kind kind, Map<String, Object> fields) {
 
@@ -18,7 +19,9 @@
         RUN,
         /** A process began, was told to end, was killed, stands still, goes on. */
         STARTED, ENDING, KILLED, PAUSED, RESUMED,
-        /** A request reached a node; an attempt left it, and ended; the client has its final answer, or left. */
+        /**
+         * A request reached a node; an attempt left it, and ended; the client has its final answer, or left.
+         */
         ASK, SEND, OUTCOME, ANSWER, LEFT,
         /** An app server served an attempt; it fell over. */
         SERVED, FELL,
@@ -28,7 +31,10 @@
         FAULT, HEALED,
         /** A call to something shared began, and came back. */
         INVOKE, RETURN,
-        /** A watcher saw a version; a decision used a value; a lease was taken, and given up; views were equal or not. */
+        /**
+         * A watcher saw a version; a decision used a value; a lease was taken, and given up; views were equal
+         * or not.
+         */
         WATCHED, USED, LEASED, RELEASED, VIEW
     }
 
--- a/rig/src/main/java/kitemux/rig/history/History.java
+++ b/rig/src/main/java/kitemux/rig/history/History.java
@@ -22,8 +22,8 @@
 import kitemux.rig.time.Timeline;
 
 /**
- * What happened in one run, a line of JSON each, passed to the referee as it happens. Without a file to go to it is
- * only passed on and summed up, so that a thousand seeds need no disk.
+ * What happened in one run, a line of JSON each, passed to the referee as it happens. Without a file to go to
+ * it is only passed on and summed up, so that a thousand seeds need no disk.
  */
 public final class History {
     /** Most bytes of a history; a run that has more fails, as a cut history proves nothing. */
--- a/rig/src/main/java/kitemux/rig/members/DatagramNet.java
+++ b/rig/src/main/java/kitemux/rig/members/DatagramNet.java
@@ -5,7 +5,10 @@
 
 import kitemux.rig.time.Timeline;
 
-/** A network of datagrams in simulated time: what comes through does so late, twice, in another order, or not at all. */
+/**
+ * A network of datagrams in simulated time: what comes through does so late, twice, in another order, or not
+ * at all.
+ */
 public final class DatagramNet {
     private final Timeline time;
     private final SplittableRandom random;
--- a/rig/src/main/java/kitemux/rig/members/MembersWorld.java
+++ b/rig/src/main/java/kitemux/rig/members/MembersWorld.java
@@ -109,7 +109,8 @@
             SimMember who = members.stream().filter(m -> m.name().equals(change.member().name()) && m.isUp())
                     .findFirst().orElse(null);
             deaths.add(new Death(time.nowUs(), at.name(), change.member().name(),
-                    who == null || who.core().self().incarnation().birth() != change.member().incarnation().birth()));
+                    who == null
+                    || who.core().self().incarnation().birth() != change.member().incarnation().birth()));
         }
         viewed(at);
     }
@@ -138,11 +139,15 @@
 
     /** Whether all that are up hold just these for live. */
     public boolean agree() {
-        if (members.stream().filter(SimMember::isUp).mapToLong(m -> m.core().digest()).distinct().count() > 1) {
+        if (members.stream().filter(SimMember::isUp).mapToLong(m -> m.core().digest()).distinct()
+                .count() > 1) {
             return false;
         }
-        List<String> up = members.stream().filter(SimMember::isUp).map(SimMember::name).sorted().distinct().toList();
-        return !up.isEmpty() && members.stream().filter(SimMember::isUp).allMatch(member -> member.core().members().stream()
+        List<String> up = members.stream().filter(SimMember::isUp).map(SimMember::name).sorted().distinct()
+                .toList();
+        return !up.isEmpty()
+                && members.stream().filter(SimMember::isUp)
+                .allMatch(member -> member.core().members().stream()
                 .map(m -> m.name()).toList().equals(up));
     }
 
--- a/rig/src/main/java/kitemux/rig/members/SimMember.java
+++ b/rig/src/main/java/kitemux/rig/members/SimMember.java
@@ -16,7 +16,9 @@
 
 /** One process of a simulated fleet: the membership core, driven as the program drives it. */
 public final class SimMember {
-    /** Events that the system keeps for one that stands still; what comes beyond is lost, as in a full buffer. */
+    /**
+     * Events that the system keeps for one that stands still; what comes beyond is lost, as in a full buffer.
+     */
     private static final int MOST_KEPT = 200;
 
     private final MembersWorld world;
--- a/rig/src/main/java/kitemux/rig/play/Comparison.java
+++ b/rig/src/main/java/kitemux/rig/play/Comparison.java
@@ -5,10 +5,11 @@
 import java.util.SplittableRandom;
 
 /**
- * Two ways compared on the same seeds: the mean of the differences, and where 95 of 100 means lie that are drawn from
- * them anew (the bootstrap's percentile interval).
+ * Two ways compared on the same seeds: the mean of the differences, and where 95 of 100 means lie that are
+ * drawn from them anew (the bootstrap's percentile interval).
  */
-public record Comparison(double meanA, double meanB, double worstA, double worstB, double difference, double from,
+public record Comparison(double meanA, double meanB, double worstA, double worstB, double difference,
+        double from,
         double to) {
     private static final int DRAWS = 10_000;
 
--- a/rig/src/main/java/kitemux/rig/play/Shrink.java
+++ b/rig/src/main/java/kitemux/rig/play/Shrink.java
@@ -9,8 +9,8 @@
 import kitemux.rig.scenario.Scenario;
 
 /**
- * Makes a scenario that breaks a rule smaller for as long as it still breaks the same one: troubles are left out one at a
- * time, the run ends soon after the violation, then there are fewer nodes, servers and requests.
+ * Makes a scenario that breaks a rule smaller for as long as it still breaks the same one: troubles are left
+ * out one at a time, the run ends soon after the violation, then there are fewer nodes, servers and requests.
  */
 public final class Shrink {
     /** A run goes on for so long after the violation, so that its own end does not hide it. */
--- a/rig/src/main/java/kitemux/rig/play/SimPlay.java
+++ b/rig/src/main/java/kitemux/rig/play/SimPlay.java
@@ -61,7 +61,8 @@
             SplittableRandom random = time.stream("trouble " + number++ + " " + trouble.kind());
             time.after(trouble.atUs(), () -> {
                 Struck struck = Troubles.named(trouble.kind()).strike(world, trouble, random);
-                world.history().add("rig", Kind.FAULT, "kind", trouble.kind(), "who", String.join(" ", struck.who()),
+                world.history().add("rig", Kind.FAULT, "kind", trouble.kind(), "who",
+                        String.join(" ", struck.who()),
                         "size", trouble.size());
                 time.after(trouble.lengthUs(), () -> {
                     struck.heal().run();
--- a/rig/src/main/java/kitemux/rig/real/Asked.java
+++ b/rig/src/main/java/kitemux/rig/real/Asked.java
@@ -66,7 +66,8 @@
 
     /** How it ended, as the server sees it. */
     void ended(Attempt attempt, AppServer server, Result result) {
-        history.add(attempt.node().name(), Kind.OUTCOME, "request", attempt.request(), "attempt", attempt.number(),
+        history.add(attempt.node().name(), Kind.OUTCOME, "request", attempt.request(), "attempt",
+                attempt.number(),
                 "server", server.id(), "result", result.name());
     }
 }
--- a/rig/src/main/java/kitemux/rig/real/Child.java
+++ b/rig/src/main/java/kitemux/rig/real/Child.java
@@ -15,8 +15,8 @@
 import java.util.concurrent.TimeoutException;
 
 /**
- * A process that the rig has started and ends by its id. It ends with the rig, however that ends: a shell beside it
- * reads a pipe from the rig, and kills it when that closes.
+ * A process that the rig has started and ends by its id. It ends with the rig, however that ends: a shell
+ * beside it reads a pipe from the rig, and kills it when that closes.
  */
 final class Child implements AutoCloseable {
     /** Of what it prints the newest is kept: twice so much at the most. */
--- a/rig/src/main/java/kitemux/rig/real/FaultLink.java
+++ b/rig/src/main/java/kitemux/rig/real/FaultLink.java
@@ -24,9 +24,10 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 
 /**
- * A way between two parties over TCP that can be hurt: it listens in place of the one and passes on to it what the other
- * sends. Each direction has faults of its own, which hold for what comes from then on. What it cannot do is keep the
- * system from accepting a connection: one that is to say nothing is taken, and then says nothing.
+ * A way between two parties over TCP that can be hurt: it listens in place of the one and passes on to it
+ * what the other sends. Each direction has faults of its own, which hold for what comes from then on. What it
+ * cannot do is keep the system from accepting a connection: one that is to say nothing is taken, and then
+ * says nothing.
  */
 public final class FaultLink implements AutoCloseable {
     /** What a direction holds that is under way; beyond it, it reads no more. */
@@ -40,12 +41,13 @@
     /**
      * What is wrong with a direction.
      *
-     * @param silent nothing comes through until that is over; what was sent meanwhile comes then, as TCP sends it again
+     * @param silent nothing comes through until that is over; what was sent meanwhile comes then, as TCP
+     *    sends it again
      * @param delayUs how much longer everything takes
      * @param jitterUs and up to so much more; order is kept
      * @param bytesPerSecond no more than this; 0 for no limit
-     * @param resetAfter the connection breaks once so many bytes of it have come through, amid whatever they are; 0 for
-     *     never
+     * @param resetAfter the connection breaks once so many bytes of it have come through, amid whatever they
+     *    are; 0 for never
      * @param halfOpen an end of the connection on one side is not told on the other
      */
     public record Faults(boolean silent, long delayUs, long jitterUs, long bytesPerSecond, long resetAfter,
@@ -230,7 +232,8 @@
         }
 
         void reset() {
-            for (SocketChannel end : to == null ? new SocketChannel[] {from} : new SocketChannel[] {from, to}) {
+            for (SocketChannel end : to == null ? new SocketChannel[] {from}
+                    : new SocketChannel[] {from, to}) {
                 if (end.isActive()) {
                     end.config().setSoLinger(0);
                     end.close();
--- a/rig/src/main/java/kitemux/rig/real/NodeClients.java
+++ b/rig/src/main/java/kitemux/rig/real/NodeClients.java
@@ -153,7 +153,8 @@
                 channel.close();
             }
             if (by != null) {
-                by.ended(ok ? Answer.OK : status == 429 || status == 503 ? Answer.REFUSED : Answer.FAILED, alien);
+                by.ended(ok ? Answer.OK : status == 429 || status == 503 ? Answer.REFUSED : Answer.FAILED,
+                        alien);
             }
         }
 
--- a/rig/src/main/java/kitemux/rig/real/NodeConfigFile.java
+++ b/rig/src/main/java/kitemux/rig/real/NodeConfigFile.java
@@ -35,7 +35,8 @@
         config.putObject("limits").put("cores", 1.0).put("memory_mb", MEMORY_MB).put("sockets", SOCKETS);
         config.set("known", known);
         config.set("settings", settings(settings, idleUs));
-        Path whole = Files.write(file.resolveSibling(file.getFileName() + ".new"), JSON.writeValueAsBytes(config));
+        Path whole = Files.write(file.resolveSibling(file.getFileName() + ".new"),
+                JSON.writeValueAsBytes(config));
         Files.move(whole, file, StandardCopyOption.REPLACE_EXISTING);
     }
 
@@ -48,7 +49,8 @@
         from.zones.forEach(zones::add);
         ArrayNode classes = to.putArray("classes");
         for (RequestClass c : from.classes) {
-            classes.addObject().put("name", c.name()).put("onTimeUs", c.aimUs()).put("giveUpUs", c.deadlineUs())
+            classes.addObject().put("name", c.name()).put("onTimeUs", c.aimUs())
+                    .put("giveUpUs", c.deadlineUs())
                     .put("importance", c.worth()).put("lateWorth", c.lateWorth())
                     .put("repeat", c.repeat().name().toLowerCase(Locale.ROOT)).put("group", "all")
                     .put("windowUs", c.windowUs()).put("stream", c.stream());
@@ -59,7 +61,8 @@
                 .put("dialTimeoutUs", from.connectTimeoutUs).put("connIdleUs", idleUs)
                 .put("retryAfter", false).put("maxRetryAfterUs", 0);
         to.putObject("rules").put("drainGraceUs", from.drainGraceUs).put("coldFrom", from.coldFrom)
-                .put("coldUs", from.coldUs).put("overloadFactor", from.fallMultiple).put("fallUs", from.fallUs);
+                .put("coldUs", from.coldUs).put("overloadFactor", from.fallMultiple)
+                .put("fallUs", from.fallUs);
         to.putObject("costs").put("crossZone", from.crossZonePrice);
         to.putObject("extra").put("warmKeys", from.warmKeys);
         to.putObject("report").put("via", "answers").putArray("fields").add("depth").add("concurrent");
--- a/rig/src/main/java/kitemux/rig/real/RealNode.java
+++ b/rig/src/main/java/kitemux/rig/real/RealNode.java
@@ -20,7 +20,10 @@
 import kitemux.rig.world.NodePort;
 import kitemux.rig.world.World;
 
-/** A node that is a process, started as the deploy file says; all but its start and its calls runs on the loop. */
+/**
+ * A node that is a process, started as the deploy file says; all but its start and its calls runs on the
+ * loop.
+ */
 final class RealNode implements NodePort {
     /** How often it is asked whether it is up. */
     private static final long LOOK_US = 50_000;
--- a/rig/src/main/java/kitemux/rig/real/RealPlay.java
+++ b/rig/src/main/java/kitemux/rig/real/RealPlay.java
@@ -29,8 +29,8 @@
 import kitemux.rig.world.World;
 
 /**
- * Plays a scenario with processes: nodes as the deploy file starts them, and app servers, list and clients as real HTTP
- * peers in this process, each at an address of its own on loopback.
+ * Plays a scenario with processes: nodes as the deploy file starts them, and app servers, list and clients as
+ * real HTTP peers in this process, each at an address of its own on loopback.
  */
 public final class RealPlay implements AutoCloseable {
     /** The most that are started at once on one machine. */
@@ -86,7 +86,8 @@
             StandInList list = new StandInList("127.3.0." + (1 + i), time, scenario.fleet().zones(),
                     id -> servers.get(id).endpoint());
             lists.add(list);
-            RealNode node = new RealNode(i, "127.1.0." + (1 + i), world, time, asked, list, deploy, folder, outside);
+            RealNode node = new RealNode(i, "127.1.0." + (1 + i), world, time, asked, list, deploy, folder,
+                    outside);
             nodes.add(node);
             world.add(node);
         }
@@ -108,7 +109,8 @@
             world.start();
             return null;
         });
-        await("all nodes to be up", READY_WITHIN_MS, () -> world.nodes().stream().allMatch(NodePort::isReady));
+        await("all nodes to be up", READY_WITHIN_MS,
+                () -> world.nodes().stream().allMatch(NodePort::isReady));
         long startedUs = onLoop(() -> {
             world.open();
             SimPlay.strike(world, time);
@@ -120,7 +122,8 @@
             if (time.nowUs() > lastUs && onLoop(world::waiting) == 0) {
                 break;
             }
-            TimeUnit.MICROSECONDS.sleep(Math.max(1, Math.min(endUs, startedUs + second * 1_000_000) - time.nowUs()));
+            TimeUnit.MICROSECONDS.sleep(Math.max(1,
+                    Math.min(endUs, startedUs + second * 1_000_000) - time.nowUs()));
             long played = second;
             onLoop(() -> {
                 progress.second(played * 1_000_000, world);
--- a/rig/src/main/java/kitemux/rig/real/RealTimeline.java
+++ b/rig/src/main/java/kitemux/rig/real/RealTimeline.java
@@ -35,7 +35,8 @@
 
     @Override
     public Timer at(long atUs, Runnable what) {
-        Future<?> planned = loop.schedule(() -> run(what), Math.max(0, atUs - nowUs()), TimeUnit.MICROSECONDS);
+        Future<?> planned = loop.schedule(() -> run(what), Math.max(0, atUs - nowUs()),
+                TimeUnit.MICROSECONDS);
         return () -> planned.cancel(false);
     }
 
--- a/rig/src/main/java/kitemux/rig/real/StandInList.java
+++ b/rig/src/main/java/kitemux/rig/real/StandInList.java
@@ -93,9 +93,11 @@
         ArrayNode targets = list.putArray("targets");
         for (ServerEntry entry : entries) {
             String state = entry.state() == ServerState.DRAINING ? "Terminating"
-                    : entry.state().name().charAt(0) + entry.state().name().substring(1).toLowerCase(Locale.ROOT);
+                    : entry.state().name().charAt(0) + entry.state().name().substring(1)
+                    .toLowerCase(Locale.ROOT);
             targets.addObject().put("uid", entry.id()).put("endpoint", endpoints.apply(entry.id()))
-                    .put("az", zones.get(entry.zone())).put("model", "stand-in").put("pod_group", entry.cell())
+                    .put("az", zones.get(entry.zone())).put("model", "stand-in")
+                    .put("pod_group", entry.cell())
                     .put("state", state).put("capacity_hint", entry.weight())
                     .put("boot_ms", entry.startedAtUs() == 0 ? 0 : time.unixMs(entry.startedAtUs()));
         }
@@ -114,7 +116,8 @@
             } else if (!request.uri().contains("watch=1")) {
                 end(HttpResponseStatus.OK, json(true, List.copyOf(known.values())));
             } else {
-                DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+                DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.OK);
                 HttpUtil.setTransferEncodingChunked(head, true);
                 context.write(head);
                 watches.add(this);
@@ -140,7 +143,8 @@
         }
 
         private void say(String line) {
-            context.writeAndFlush(new DefaultHttpContent(Unpooled.copiedBuffer(line, StandardCharsets.UTF_8)));
+            context.writeAndFlush(new DefaultHttpContent(Unpooled.copiedBuffer(line,
+                    StandardCharsets.UTF_8)));
         }
 
         @Override
--- a/rig/src/main/java/kitemux/rig/real/StandInServer.java
+++ b/rig/src/main/java/kitemux/rig/real/StandInServer.java
@@ -95,7 +95,8 @@
             });
         }
 
-        private void replied(ChannelHandlerContext context, Asked.Attempt of, Result result, double[] report) {
+        private void replied(ChannelHandlerContext context, Asked.Attempt of, Result result,
+                double[] report) {
             int to = of.node().zone();
             if (attempt != of || server.isSilent() || world.links().isCut(server.zone(), to)) {
                 return;
@@ -107,8 +108,10 @@
                 end(result);
                 switch (result) {
                     case OK -> answer(context, HttpResponseStatus.OK, of.txn(), false, report);
-                    case ERROR -> answer(context, HttpResponseStatus.INTERNAL_SERVER_ERROR, "error", false, report);
-                    case FULL -> answer(context, HttpResponseStatus.SERVICE_UNAVAILABLE, "full", true, report);
+                    case ERROR -> answer(context, HttpResponseStatus.INTERNAL_SERVER_ERROR, "error", false,
+                            report);
+                    case FULL -> answer(context, HttpResponseStatus.SERVICE_UNAVAILABLE, "full", true,
+                            report);
                     default -> context.close();
                 }
             });
@@ -120,7 +123,8 @@
             job = null;
         }
 
-        private void answer(ChannelHandlerContext context, HttpResponseStatus status, String body, boolean away,
+        private void answer(ChannelHandlerContext context, HttpResponseStatus status, String body,
+                boolean away,
                 double... report) {
             FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
                     Unpooled.copiedBuffer(body, StandardCharsets.US_ASCII));
@@ -129,7 +133,8 @@
                 response.headers().set("X-Turned-Away", "1");
             }
             if (report != null && report.length == 2) {
-                response.headers().set("X-Pressure", String.format(Locale.ROOT, "TEXT queue=%.2f, inflight=%.2f",
+                response.headers().set("X-Pressure",
+                        String.format(Locale.ROOT, "TEXT queue=%.2f, inflight=%.2f",
                         report[0], report[1]));
             }
             context.writeAndFlush(response);
--- a/rig/src/main/java/kitemux/rig/scenario/DayFile.java
+++ b/rig/src/main/java/kitemux/rig/scenario/DayFile.java
@@ -11,8 +11,8 @@
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 
 /**
- * Makes a scenario of a day that the platform's simulator has drawn, so that this model's G can be held against that
- * one's on the same days. What it leaves out stands in {@code docs/model.md}.
+ * Makes a scenario of a day that the platform's simulator has drawn, so that this model's G can be held
+ * against that one's on the same days. What it leaves out stands in {@code docs/model.md}.
  */
 public final class DayFile {
     private static final double MS = 1e3;
@@ -28,7 +28,8 @@
     /** The scenario as TOML. */
     public static String toToml(Path file, String name) throws IOException {
         JsonNode day = new ObjectMapper().readTree(Files.readString(file));
-        if (!day.path("tiers").isArray() || !day.path("servers").isArray() || !day.path("classes").isArray()) {
+        if (!day.path("tiers").isArray() || !day.path("servers").isArray()
+                || !day.path("classes").isArray()) {
             throw new IOException(file + ": is no day, which has tiers, servers and classes");
         }
         return new TomlMapper().writeValueAsString(new DayFile(day).scenario(name));
@@ -78,9 +79,10 @@
         for (JsonNode c : day.path("classes")) {
             work += c.path("share").asDouble() * c.path("work").asDouble();
         }
-        ObjectNode load = scenario.putObject("load").put("per_second",
-                traffic.path("load").asDouble() * capacity * S / work)
-                .put("keys", traffic.path("keys").asInt()).put("key_zipf", traffic.path("key_zipf").asDouble());
+        ObjectNode load = scenario.putObject("load")
+                .put("per_second", traffic.path("load").asDouble() * capacity * S / work)
+                .put("keys", traffic.path("keys").asInt())
+                .put("key_zipf", traffic.path("key_zipf").asDouble());
         load.set("zone_shares", traffic.path("zone_share"));
         ArrayNode shape = load.putArray("shape");
         // Its points are a second apart.
@@ -116,7 +118,8 @@
         JsonNode net = day.path("net");
         scenario.putObject("net").put("same_zone_ms", net.path("same").asDouble() / MS)
                 .put("cross_zone_ms", net.path("cross").asDouble() / MS)
-                .put("client_ms", net.path("client").asDouble() / MS).put("jitter", net.path("jitter").asDouble())
+                .put("client_ms", net.path("client").asDouble() / MS)
+                .put("jitter", net.path("jitter").asDouble())
                 .put("connect_timeout_ms", tier().path("connect_timeout").asDouble() / MS)
                 .put("handshake_trips", (int) Math.round(tier().path("handshake_rtts").asDouble()))
                 .put("handshake_work_ms", tier().path("handshake_work").asDouble() / MS)
@@ -138,8 +141,10 @@
         for (JsonNode kind : tier().path("kinds")) {
             int cores = kind.path("cores").asInt();
             // Slots and queue are told of the machine, and counted by the core here.
-            servers.addObject().put("cores", cores).put("slots", Math.max(1, kind.path("slots").asInt() / cores))
-                    .put("queue", kind.path("queue").asInt() / cores).put("thrash", kind.path("thrash").asDouble())
+            servers.addObject().put("cores", cores)
+                    .put("slots", Math.max(1, kind.path("slots").asInt() / cores))
+                    .put("queue", kind.path("queue").asInt() / cores)
+                    .put("thrash", kind.path("thrash").asDouble())
                     .put("thrash_at", (int) Math.round(kind.path("knee").asDouble()))
                     .put("cold_from", kind.path("cold_from").asDouble())
                     .put("cold_s", kind.path("cold").asDouble() / S)
@@ -147,7 +152,8 @@
                     .put("pause_ms", kind.path("pause").asDouble() / MS)
                     .put("pause_grow", kind.path("pause_grow").asDouble())
                     .put("error_rate", kind.path("error_rate").asDouble())
-                    .put("keys_kept", (int) Math.round(day.path("fam").path("affinity_keys_per_core").asDouble()))
+                    .put("keys_kept",
+                            (int) Math.round(day.path("fam").path("affinity_keys_per_core").asDouble()))
                     .put("keys_kept_s", day.path("fam").path("affinity_s").asDouble())
                     .put("key_gain", day.path("fam").path("affinity_gain").asDouble())
                     .put("report_every_ms", tier().path("report_period").asDouble() / MS)
@@ -170,7 +176,8 @@
         scenario.putObject("prices").put("whole", goal.path("whole").asDouble())
                 .put("worst_window", goal.path("worst_window").asDouble())
                 .put("worst_class", goal.path("worst_class").asDouble())
-                .put("cross_zone", prices.path("cross_zone").asDouble()).put("waste", prices.path("waste").asDouble())
+                .put("cross_zone", prices.path("cross_zone").asDouble())
+                .put("waste", prices.path("waste").asDouble())
                 .put("late_fail", prices.path("late_fail").asDouble());
     }
 
@@ -178,8 +185,10 @@
         ArrayNode troubles = scenario.putArray("trouble");
         for (JsonNode trouble : day.path("troubles")) {
             ObjectNode told = troubles.addObject().put("kind", trouble.path("kind").asText())
-                    .put("at_s", trouble.path("at").asDouble() / S).put("length_s", trouble.path("len").asDouble() / S)
-                    .put("size", trouble.path("size").asDouble()).put("extra", trouble.path("extra").asDouble());
+                    .put("at_s", trouble.path("at").asDouble() / S)
+                    .put("length_s", trouble.path("len").asDouble() / S)
+                    .put("size", trouble.path("size").asDouble())
+                    .put("extra", trouble.path("extra").asDouble());
             if (trouble.path("kind").asText().equals("heavy_tail")) {
                 told.putArray("on").add(trouble.path("which").asInt());
             } else if (!trouble.path("on").isEmpty()) {
--- a/rig/src/main/java/kitemux/rig/scenario/Fields.java
+++ b/rig/src/main/java/kitemux/rig/scenario/Fields.java
@@ -11,8 +11,8 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 
 /**
- * One table of a scenario file, read key by key. What is wrong is gathered and not thrown, so that all faults of a file
- * are told at once.
+ * One table of a scenario file, read key by key. What is wrong is gathered and not thrown, so that all faults
+ * of a file are told at once.
  */
 final class Fields {
     /** A key this many edits off a known one is taken for it misspelt. */
@@ -94,7 +94,8 @@
             return orElse;
         }
         if (!value.isTextual() || value.asText().isBlank()) {
-            faults.add(path(key) + (value.isMissingNode() ? " is missing" : " = " + value) + ": must be a text");
+            faults.add(path(key) + (value.isMissingNode() ? " is missing" : " = " + value)
+                    + ": must be a text");
             return orElse == null ? "" : orElse;
         }
         return value.asText();
@@ -134,7 +135,8 @@
         boolean fits = value.isArray() && (wanted < 0 || numbers.size() == wanted)
                 && numbers.stream().allMatch(number -> number >= least && number <= most);
         if (!value.isMissingNode() && !fits) {
-            fault(key, value, "a list of " + (wanted < 0 ? "" : wanted + " ") + "numbers from " + plain(least) + " to "
+            fault(key, value,
+                    "a list of " + (wanted < 0 ? "" : wanted + " ") + "numbers from " + plain(least) + " to "
                     + plain(most));
             return List.of();
         }
@@ -191,7 +193,10 @@
                 : String.format(Locale.ROOT, "%s", number);
     }
 
-    /** The one of several words that a wrong one may have been meant for, as a question; empty if none is near. */
+    /**
+     * The one of several words that a wrong one may have been meant for, as a question; empty if none is
+     * near.
+     */
     static String nearest(String given, Iterable<String> words) {
         String best = null;
         int least = NEAR + 1;
--- a/rig/src/main/java/kitemux/rig/scenario/Scenario.java
+++ b/rig/src/main/java/kitemux/rig/scenario/Scenario.java
@@ -5,17 +5,20 @@
 import kitemux.Balancer.Repeat;
 
 /**
- * All that one run is made of, but for its seed. Lengths of time are microseconds; shares lie between 0 and 1. What
- * each figure does stands in {@code docs/model.md}.
+ * All that one run is made of, but for its seed. Lengths of time are microseconds; shares lie between 0 and
+ * 1. What each figure does stands in {@code docs/model.md}.
  */
-public record Scenario(String name, long lengthUs, Fleet fleet, Load load, List<RequestClass> classes, Clients clients,
-        Net net, ServerList list, List<ServerKind> servers, Rules rules, Prices prices, List<Trouble> troubles) {
+public record Scenario(String name, long lengthUs, Fleet fleet, Load load, List<RequestClass> classes,
+        Clients clients,
+        Net net, ServerList list, List<ServerKind> servers, Rules rules, Prices prices,
+        List<Trouble> troubles) {
 
     /**
-     * How many there are of each, and where. What stands in the lists is by number; where one is empty, nodes and
-     * servers go round the zones, servers are of the first kind, and their speeds are drawn.
+     * How many there are of each, and where. What stands in the lists is by number; where one is empty, nodes
+     * and servers go round the zones, servers are of the first kind, and their speeds are drawn.
      */
-    public record Fleet(int nodes, int servers, List<String> zones, long readyAfterUs, List<Integer> nodeZones,
+    public record Fleet(int nodes, int servers, List<String> zones, long readyAfterUs,
+            List<Integer> nodeZones,
             List<Integer> serverZones, List<Integer> serverKinds, List<Double> speeds) {
 
         public int zoneOfNode(int number) {
@@ -33,7 +36,8 @@
         /** With fewer of both, the first ones. */
         public Fleet first(int fewerNodes, int fewerServers) {
             return new Fleet(fewerNodes, fewerServers, zones, readyAfterUs, head(nodeZones, fewerNodes),
-                    head(serverZones, fewerServers), head(serverKinds, fewerServers), head(speeds, fewerServers));
+                    head(serverZones, fewerServers), head(serverKinds, fewerServers),
+                    head(speeds, fewerServers));
         }
 
         private static <T> List<T> head(List<T> of, int count) {
@@ -66,7 +70,8 @@
      * @param cv spread of the work over its mean, from request to request
      * @param attemptNoise the same from attempt to attempt of one request
      */
-    public record RequestClass(String name, double share, long workUs, double cv, double attemptNoise, long aimUs,
+    public record RequestClass(String name, double share, long workUs, double cv, double attemptNoise,
+            long aimUs,
             long deadlineUs, double worth, Repeat repeat) { }
 
     /**
@@ -87,11 +92,13 @@
     /** What an app server is; see {@code AppServer}. */
     public record ServerKind(int cores, double speed, double speedCv, int slots, int queue, double thrash,
             int thrashAt, double coldFrom, long coldUs, long pauseEveryUs, long pauseUs, double pauseGrow,
-            double errorRate, int keysKept, long keysKeptUs, double keyGain, long reportEveryUs, long reportDelayUs,
+            double errorRate, int keysKept, long keysKeptUs, double keyGain, long reportEveryUs,
+            long reportDelayUs,
             double reportNoise, boolean dropsExpired) { }
 
     /** What the platform forbids, in figures. */
-    public record Rules(int maxAttempts, boolean secondCopies, boolean cancel, long drainGraceUs, long answerGraceUs,
+    public record Rules(int maxAttempts, boolean secondCopies, boolean cancel, long drainGraceUs,
+            long answerGraceUs,
             double fallMultiple, long fallUs, long downUs) { }
 
     /** What G is made of: shares of the whole, the worst window and the worst class, and what comes off. */
@@ -103,7 +110,8 @@
      *
      * @param part share of what it strikes
      * @param size how hard; each kind tells what it is
-     * @param on the numbers of the servers that it strikes, or of the class, in place of a part by chance; or empty
+     * @param on the numbers of the servers that it strikes, or of the class, in place of a part by chance; or
+     *    empty
      */
     public record Trouble(String kind, long atUs, long lengthUs, double part, double size, double extra,
             List<Integer> on) { }
--- a/rig/src/main/java/kitemux/rig/scenario/ScenarioFile.java
+++ b/rig/src/main/java/kitemux/rig/scenario/ScenarioFile.java
@@ -28,7 +28,8 @@
     private ScenarioFile() { }
 
     /**
-     * @param overrides values that go before the file's, by path, as {@code load.per_second} or {@code trouble.0.size}
+     * @param overrides values that go before the file's, by path, as {@code load.per_second} or {@code
+     *    trouble.0.size}
      * @param troubles the kinds there are
      */
     public static Scenario read(Path file, Map<String, String> overrides, List<String> troubles)
@@ -49,7 +50,8 @@
             tree = TOML.readTree(toml);
         } catch (JsonProcessingException e) {
             JsonLocation at = e.getLocation();
-            throw new BadScenarioException(List.of("line " + (at == null ? "?" : at.getLineNr()) + ": no TOML: "
+            throw new BadScenarioException(List.of("line " + (at == null ? "?" : at.getLineNr())
+                    + ": no TOML: "
                     + e.getOriginalMessage()));
         }
         overrides.forEach((path, value) -> override(tree, path, value, faults));
@@ -88,7 +90,8 @@
         List<Scenario.ServerKind> servers = servers(file.tables("server"));
         Scenario.Fleet fleet = fleet(file.table("fleet"), servers.size());
         List<Scenario.RequestClass> classes = classes(file.tables("class"));
-        Scenario read = new Scenario(name, length, fleet, load(file.table("load"), fleet.zones().size()), classes,
+        Scenario read = new Scenario(name, length, fleet, load(file.table("load"), fleet.zones().size()),
+                classes,
                 clients(file.table("clients")), net(file.table("net")), list(file.table("list")), servers,
                 rules(file.table("rules")), prices(file.table("prices")),
                 troubles(file.tables("trouble"), kinds, length, Math.max(fleet.servers(), classes.size())));
@@ -103,7 +106,8 @@
         int nodes = f.count("nodes", 3, 1, 10_000);
         int servers = f.count("servers", 12, 1, 100_000);
         List<String> zones = f.words("zones", List.of("a", "b", "c"));
-        Scenario.Fleet fleet = new Scenario.Fleet(nodes, servers, zones, f.seconds("ready_after_s", 1.2, 0, 60),
+        Scenario.Fleet fleet = new Scenario.Fleet(nodes, servers, zones,
+                f.seconds("ready_after_s", 1.2, 0, 60),
                 f.counts("node_zones", nodes, 0, zones.size() - 1),
                 f.counts("server_zones", servers, 0, zones.size() - 1),
                 f.counts("server_kinds", servers, 0, kinds - 1), f.numbers("speeds", servers, 0.001, 1_000));
@@ -144,7 +148,8 @@
     }
 
     private static Scenario.Clients clients(Fields f) {
-        Scenario.Clients clients = new Scenario.Clients(f.count("tries", 3, 1, 20), f.number("try_share", 0.55, 0.01, 1),
+        Scenario.Clients clients = new Scenario.Clients(f.count("tries", 3, 1, 20),
+                f.number("try_share", 0.55, 0.01, 1),
                 f.millis("backoff_ms", 100, 0, 60_000), f.number("leaving", 0.02, 0, 1),
                 f.yes("marks_repeats", true), f.seconds("front_notice_s", 2.3, 0, 60));
         f.end();
@@ -152,10 +157,12 @@
     }
 
     private static Scenario.Net net(Fields f) {
-        Scenario.Net net = new Scenario.Net(f.millis("same_zone_ms", 0.2, 0, 1e4), f.millis("cross_zone_ms", 8, 0, 1e4),
+        Scenario.Net net = new Scenario.Net(f.millis("same_zone_ms", 0.2, 0, 1e4),
+                f.millis("cross_zone_ms", 8, 0, 1e4),
                 f.millis("client_ms", 0.7, 0, 1e4), f.number("jitter", 0.2, 0, 1),
                 f.millis("connect_timeout_ms", 200, 1, 60_000), f.count("handshake_trips", 1, 0, 10),
-                f.millis("handshake_work_ms", 1.5, 0, 1e4), f.count("connections_per_core", 750, 1, 1_000_000),
+                f.millis("handshake_work_ms", 1.5, 0, 1e4),
+                f.count("connections_per_core", 750, 1, 1_000_000),
                 f.seconds("idle_s", 60, 0.1, 3_600));
         f.end();
         return net;
@@ -176,8 +183,10 @@
     }
 
     private static Scenario.ServerKind server(Fields f) {
-        Scenario.ServerKind kind = new Scenario.ServerKind(f.count("cores", 1, 1, 1_024), f.number("speed", 0.8, 0.01, 100),
-                f.number("speed_cv", 0.2, 0, 2), f.count("slots", 16, 1, 100_000), f.count("queue", 24, 0, 1_000_000),
+        Scenario.ServerKind kind = new Scenario.ServerKind(f.count("cores", 1, 1, 1_024),
+                f.number("speed", 0.8, 0.01, 100),
+                f.number("speed_cv", 0.2, 0, 2), f.count("slots", 16, 1, 100_000),
+                f.count("queue", 24, 0, 1_000_000),
                 f.number("thrash", 0.09, 0, 10), f.count("thrash_at", 10, 0, 100_000),
                 f.number("cold_from", 0.4, 0.01, 1), f.seconds("cold_s", 6, 0, 600),
                 f.seconds("pause_every_s", 4, 0, 3_600), f.millis("pause_ms", 150, 0, 60_000),
@@ -191,7 +200,8 @@
     }
 
     private static Scenario.Rules rules(Fields f) {
-        Scenario.Rules rules = new Scenario.Rules(f.count("max_attempts", 4, 1, 100), f.yes("second_copies", true),
+        Scenario.Rules rules = new Scenario.Rules(f.count("max_attempts", 4, 1, 100),
+                f.yes("second_copies", true),
                 f.yes("cancel", true), f.millis("drain_grace_ms", 1_000, 0, 1e6),
                 f.millis("answer_grace_ms", 50, 0, 1e5), f.number("fall_multiple", 3, 0.1, 100),
                 f.millis("fall_ms", 3_000, 1, 1e6), f.seconds("down_s", 5, 0, 600));
@@ -200,8 +210,10 @@
     }
 
     private static Scenario.Prices prices(Fields f) {
-        Scenario.Prices prices = new Scenario.Prices(f.number("whole", 0.35, 0, 1), f.number("worst_window", 0.45, 0, 1),
-                f.number("worst_class", 0.2, 0, 1), f.number("cross_zone", 0.029, 0, 1), f.number("waste", 0.1, 0, 1),
+        Scenario.Prices prices = new Scenario.Prices(f.number("whole", 0.35, 0, 1),
+                f.number("worst_window", 0.45, 0, 1),
+                f.number("worst_class", 0.2, 0, 1), f.number("cross_zone", 0.029, 0, 1),
+                f.number("waste", 0.1, 0, 1),
                 f.number("late_fail", 0.03, 0, 1));
         f.end();
         return prices;
@@ -213,7 +225,8 @@
         for (Fields f : tables) {
             troubles.add(new Scenario.Trouble(f.word("kind", null, kinds),
                     f.seconds("at_s", 0, 0, lengthUs / 1e6), f.seconds("length_s", 10, 0, DAY_S),
-                    f.number("part", 0.1, 0, 1), f.number("size", 1, 0, 1_000), f.number("extra", 0, 0, 1_000),
+                    f.number("part", 0.1, 0, 1), f.number("size", 1, 0, 1_000),
+                    f.number("extra", 0, 0, 1_000),
                     f.counts("on", -1, 0, numbers - 1)));
             f.end();
         }
--- a/rig/src/main/java/kitemux/rig/time/Simulator.java
+++ b/rig/src/main/java/kitemux/rig/time/Simulator.java
@@ -4,8 +4,8 @@
 import java.util.SplittableRandom;
 
 /**
- * Virtual time: a queue of events ordered by time and, at the same time, by when they were asked for. One thread; the
- * same seed gives the same run to the byte.
+ * Virtual time: a queue of events ordered by time and, at the same time, by when they were asked for. One
+ * thread; the same seed gives the same run to the byte.
  */
 public final class Simulator implements Timeline {
     /** Most events that may be due at once; a world that holds more will not settle. */
--- a/rig/src/main/java/kitemux/rig/time/Streams.java
+++ b/rig/src/main/java/kitemux/rig/time/Streams.java
@@ -4,8 +4,8 @@
 import java.util.SplittableRandom;
 
 /**
- * One stream of random numbers per actor, split from the seed by the actor's name and not by the order of creation, so
- * that one more actor does not shift what the others draw.
+ * One stream of random numbers per actor, split from the seed by the actor's name and not by the order of
+ * creation, so that one more actor does not shift what the others draw.
  */
 public final class Streams {
     private static final long FNV_START = 0xCBF29CE484222325L;
--- a/rig/src/main/java/kitemux/rig/trouble/Crash.java
+++ b/rig/src/main/java/kitemux/rig/trouble/Crash.java
@@ -13,6 +13,7 @@
     public Struck strike(World world, Scenario.Trouble told, SplittableRandom random) {
         List<AppServer> struck = world.struckBy(told, random);
         struck.forEach(world::killServer);
-        return Struck.servers(struck, () -> struck.stream().filter(server -> !server.isUp()).forEach(world::startServer));
+        return Struck.servers(struck,
+                () -> struck.stream().filter(server -> !server.isUp()).forEach(world::startServer));
     }
 }
--- a/rig/src/main/java/kitemux/rig/trouble/Partition.java
+++ b/rig/src/main/java/kitemux/rig/trouble/Partition.java
@@ -6,7 +6,9 @@
 import kitemux.rig.scenario.Scenario;
 import kitemux.rig.world.World;
 
-/** One zone is cut off from the others, both ways, or with {@code size} 2 only outwards; all in it goes on. */
+/**
+ * One zone is cut off from the others, both ways, or with {@code size} 2 only outwards; all in it goes on.
+ */
 final class Partition implements Trouble {
     @Override
     public Struck strike(World world, Scenario.Trouble told, SplittableRandom random) {
--- a/rig/src/main/java/kitemux/rig/trouble/Release.java
+++ b/rig/src/main/java/kitemux/rig/trouble/Release.java
@@ -18,7 +18,8 @@
         List<AppServer> struck = world.struckBy(told, random);
         long gapUs = told.lengthUs() / Math.max(1, struck.size());
         Scenario scenario = world.scenario();
-        long toldUs = scenario.list().changeUs() + scenario.list().spreadUs() + scenario.rules().drainGraceUs();
+        long toldUs = scenario.list().changeUs() + scenario.list().spreadUs() + scenario.rules()
+                .drainGraceUs();
         for (int i = 0; i < struck.size(); i++) {
             AppServer server = struck.get(i);
             world.time().after(i * gapUs, () -> {
--- a/rig/src/main/java/kitemux/rig/trouble/Vanish.java
+++ b/rig/src/main/java/kitemux/rig/trouble/Vanish.java
@@ -19,6 +19,7 @@
             server.fallSilent();
             world.list().gone(server.id(), false, true);
         }
-        return Struck.servers(struck, () -> struck.stream().filter(AppServer::isSilent).forEach(world::startServer));
+        return Struck.servers(struck,
+                () -> struck.stream().filter(AppServer::isSilent).forEach(world::startServer));
     }
 }
--- a/rig/src/main/java/kitemux/rig/trouble/ZoneLost.java
+++ b/rig/src/main/java/kitemux/rig/trouble/ZoneLost.java
@@ -10,6 +10,7 @@
     @Override
     public Struck strike(World world, Scenario.Trouble told, SplittableRandom random) {
         int zone = random.nextInt(world.zones());
-        return Vanish.silence(world, world.servers().values().stream().filter(s -> s.zone() == zone).toList());
+        return Vanish.silence(world,
+                world.servers().values().stream().filter(s -> s.zone() == zone).toList());
     }
 }
--- a/rig/src/main/java/kitemux/rig/world/AppServer.java
+++ b/rig/src/main/java/kitemux/rig/world/AppServer.java
@@ -17,9 +17,10 @@
 import kitemux.rig.time.Timeline.Timer;
 
 /**
- * The model of one app server. Its cores are shared evenly by what is in its slots; what comes beyond waits in a queue,
- * and beyond that is turned away. It works worse the more it holds, pauses now and then, starts cold, falls over when it
- * gets far too much while it is, and does a request with a key that it remembers in less time.
+ * The model of one app server. Its cores are shared evenly by what is in its slots; what comes beyond waits
+ * in a queue, and beyond that is turned away. It works worse the more it holds, pauses now and then, starts
+ * cold, falls over when it gets far too much while it is, and does a request with a key that it remembers in
+ * less time.
  */
 public final class AppServer {
     /** How often a cold server's pace is worked out anew, as it rises all the time. */
@@ -257,8 +258,8 @@
     // ---------------------------------------------------------------- work
 
     /**
-     * Takes an attempt, all of which has arrived. The reply comes later, never from inside this call; a silent machine
-     * gives none.
+     * Takes an attempt, all of which has arrived. The reply comes later, never from inside this call; a
+     * silent machine gives none.
      *
      * @return what to give up on by {@link #giveUp}, or null
      */
@@ -284,7 +285,8 @@
             time.after(0, () -> reply.accept(Result.FULL, report()));
             return null;
         }
-        Job job = new Job(jobs++, work, work.workUs() * (remembers(work.key()) ? 1 - kind.keyGain() : 1), reply);
+        Job job = new Job(jobs++, work, work.workUs() * (remembers(work.key()) ? 1 - kind.keyGain() : 1),
+                reply);
         reckon();
         if (inWork.size() < kind.slots() * kind.cores()) {
             begin(job);
--- a/rig/src/main/java/kitemux/rig/world/Clients.java
+++ b/rig/src/main/java/kitemux/rig/world/Clients.java
@@ -12,8 +12,8 @@
 import kitemux.rig.world.NodePort.Try;
 
 /**
- * Clients, open loop: they ask by chance, one stream for each class and zone, whatever becomes of what was asked before.
- * A client repeats what may be repeated, and a few leave early.
+ * Clients, open loop: they ask by chance, one stream for each class and zone, whatever becomes of what was
+ * asked before. A client repeats what may be repeated, and a few leave early.
  */
 final class Clients {
     /** Rates change over time: no wait is drawn for longer than this. */
@@ -102,7 +102,8 @@
             this.classIndex = classIndex;
             this.zone = zone;
             random = time.stream("clients " + classIndex + " " + zone);
-            perUs = scenario.load().perSecond() * scenario.classes().get(classIndex).share() * zoneShare(zone) / 1e6;
+            perUs = scenario.load().perSecond() * scenario.classes().get(classIndex)
+                    .share() * zoneShare(zone) / 1e6;
         }
 
         void next() {
@@ -150,7 +151,8 @@
             this.from = from;
             cls = scenario.classes().get(from.classIndex);
             key = from.key();
-            double heavier = from.classIndex == heavyClass && from.random.nextDouble() < heavyShare ? heavyBy : 1;
+            double heavier = from.classIndex == heavyClass && from.random.nextDouble() < heavyShare ? heavyBy
+                    : 1;
             workUs = cls.workUs() * Chance.spread(from.random, cls.cv()) * heavier;
             deadlineUs = askedAtUs + cls.deadlineUs();
             leaves = from.random.nextDouble() < scenario.clients().leaving();
@@ -170,7 +172,8 @@
             node = world.front().choose(from.zone, from.random);
             int attempt = ++current;
             boolean leavesNow = leaves && tries == 1;
-            // A client waits for what is late by no more than the rules bear, so that the referee sees it come.
+            // A client waits for what is late by no more than the rules bear, so that the referee sees it
+            // come.
             long waitsUs = leavesNow ? (long) (patienceUs * from.random.nextDouble())
                     : patienceUs + 2 * scenario.rules().answerGraceUs();
             giveUp = time.after(waitsUs, () -> {
--- a/rig/src/main/java/kitemux/rig/world/Links.java
+++ b/rig/src/main/java/kitemux/rig/world/Links.java
@@ -29,7 +29,9 @@
         return Chance.delay(random, net.clientUs(), net.jitter());
     }
 
-    /** From now on nothing comes through from one zone to another, one way; connections stay open and silent. */
+    /**
+     * From now on nothing comes through from one zone to another, one way; connections stay open and silent.
+     */
     public void cut(int from, int to, boolean off) {
         if (off) {
             cut.add(from + ">" + to);
--- a/rig/src/main/java/kitemux/rig/world/ListModel.java
+++ b/rig/src/main/java/kitemux/rig/world/ListModel.java
@@ -15,8 +15,8 @@
 import kitemux.rig.time.Timeline;
 
 /**
- * The list of app servers as discovery knows it, and what each node's agent has been sent of it: every change reaches
- * each node late, by a delay of its own, and in order. While discovery is down nothing does.
+ * The list of app servers as discovery knows it, and what each node's agent has been sent of it: every change
+ * reaches each node late, by a delay of its own, and in order. While discovery is down nothing does.
  */
 public final class ListModel {
     private final Timeline time;
@@ -129,7 +129,8 @@
     }
 
     private static ServerEntry inState(ServerEntry entry, ServerState state) {
-        return new ServerEntry(entry.id(), entry.zone(), entry.cell(), state, entry.weight(), entry.startedAtUs());
+        return new ServerEntry(entry.id(), entry.zone(), entry.cell(), state, entry.weight(),
+                entry.startedAtUs());
     }
 
     private void change(ServerEntry entry, long delayUs) {
--- a/rig/src/main/java/kitemux/rig/world/Policy.java
+++ b/rig/src/main/java/kitemux/rig/world/Policy.java
@@ -12,6 +12,9 @@
     /** The project's own module. */
     Policy MODULE = (settings, seed, actions, servers) -> new ServiceQBalancer(settings, seed, actions);
 
-    /** A node that has just started; {@code servers} are the true ones, for policies that no real node can have. */
+    /**
+     * A node that has just started; {@code servers} are the true ones, for policies that no real node can
+     * have.
+     */
     Balancer make(Settings settings, long seed, Actions actions, Map<String, AppServer> servers);
 }
--- a/rig/src/main/java/kitemux/rig/world/Score.java
+++ b/rig/src/main/java/kitemux/rig/world/Score.java
@@ -8,7 +8,9 @@
 
 import kitemux.rig.scenario.Scenario;
 
-/** What a run earned: the worth answered within its aim over the worth asked for, in three views, less prices. */
+/**
+ * What a run earned: the worth answered within its aim over the worth asked for, in three views, less prices.
+ */
 public final class Score {
     private static final int WINDOW_S = 10;
     private static final long SECOND_US = 1_000_000;
@@ -63,7 +65,9 @@
         left++;
     }
 
-    /** A client's request is over, and it was still there; how long it took counts only where it was served. */
+    /**
+     * A client's request is over, and it was still there; how long it took counts only where it was served.
+     */
     void ended(int classIndex, long askedAtUs, long tookUs, NodePort.Answer answer) {
         Scenario.RequestClass cls = scenario.classes().get(classIndex);
         int second = (int) Math.min((askedAtUs - openedUs) / SECOND_US, askedBySecond.length - 1);
@@ -118,7 +122,8 @@
                 + prices.lateFail() * share(lateWorth, Math.max(1e-9, Arrays.stream(askedBySecond).sum()));
         double g = prices.whole() * whole() + prices.worstWindow() * worstWindow()
                 + prices.worstClass() * worstClass() - off;
-        return new Result(g, whole(), worstWindow(), worstClass(), firstTries, tries, attempts, crossing, inTime,
+        return new Result(g, whole(), worstWindow(), worstClass(), firstTries, tries, attempts, crossing,
+                inTime,
                 refused, failed, left, latency.getValueAtPercentile(50), latency.getValueAtPercentile(99));
     }
 
@@ -129,14 +134,17 @@
      * @param inTime first tries that were served within their aim, by whichever try
      * @param left first tries whose client left early; they count for nothing else
      */
-    public record Result(double g, double whole, double worstWindow, double worstClass, long firstTries, long tries,
+    public record Result(double g, double whole, double worstWindow, double worstClass, long firstTries,
+            long tries,
             long attempts, long crossing, long inTime, long refused, long failed, long left, long medianUs,
             long p99Us) {
 
         @Override
         public String toString() {
-            return String.format(Locale.ROOT, "G %.4f  whole %.4f  worst 10 s %.4f  worst class %.4f  first tries %d"
-                    + "  attempts %d (%d crossing)  in time %d  refused %d  failed %d  p50 %.1f ms  p99 %.1f ms", g,
+            return String.format(Locale.ROOT,
+                    "G %.4f  whole %.4f  worst 10 s %.4f  worst class %.4f  first tries %d"
+                    + "  attempts %d (%d crossing)  in time %d  refused %d  failed %d"
+                    + "  p50 %.1f ms  p99 %.1f ms", g,
                     whole, worstWindow, worstClass, firstTries, attempts, crossing, inTime, refused, failed,
                     medianUs / 1e3, p99Us / 1e3);
         }
--- a/rig/src/main/java/kitemux/rig/world/SimNode.java
+++ b/rig/src/main/java/kitemux/rig/world/SimNode.java
@@ -22,8 +22,8 @@
 import kitemux.rig.time.Timeline.Timer;
 
 /**
- * A node in simulated time: the decision module, with sockets that are models. It does what the program does around the
- * module, in no time of its own.
+ * A node in simulated time: the decision module, with sockets that are models. It does what the program does
+ * around the module, in no time of its own.
  */
 final class SimNode implements NodePort, Balancer.Actions {
     private final String name;
@@ -137,7 +137,8 @@
             double workUs = world.attemptWork(of.asked, random);
             later(tripUs, () -> {
                 if (!over) {
-                    job = server.take(new Work(name, of.asked.id(), number, of.asked.classIndex(), of.asked.key(),
+                    job = server.take(new Work(name, of.asked.id(), number, of.asked.classIndex(),
+                            of.asked.key(),
                             workUs, untilUs), this::replied);
                 }
             });
@@ -185,7 +186,8 @@
             if (result == Result.TIMEOUT) {
                 server.disconnect(name);
             }
-            history.add(name, Kind.OUTCOME, "request", of.asked.id(), "attempt", number, "server", server.id(),
+            history.add(name, Kind.OUTCOME, "request", of.asked.id(), "attempt", number, "server",
+                    server.id(),
                     "result", result.name());
             if (result == Result.OK && !of.ended) {
                 answer(of, Answer.OK);
--- a/rig/src/main/java/kitemux/rig/world/World.java
+++ b/rig/src/main/java/kitemux/rig/world/World.java
@@ -17,8 +17,8 @@
 import kitemux.rig.time.Timeline;
 
 /**
- * All that one run has: app servers, nodes, clients and their front, the list and the network. It lives in whichever
- * time it is given; what goes wrong comes from outside.
+ * All that one run has: app servers, nodes, clients and their front, the list and the network. It lives in
+ * whichever time it is given; what goes wrong comes from outside.
  */
 public final class World {
     /** App servers that share which keys they have seen. */
@@ -82,7 +82,8 @@
 
     /** How long after the first was asked all that was asked has had its time. */
     public long settledUs() {
-        long longest = scenario.classes().stream().mapToLong(Scenario.RequestClass::deadlineUs).max().orElse(0);
+        long longest = scenario.classes().stream().mapToLong(Scenario.RequestClass::deadlineUs).max()
+                .orElse(0);
         return scenario.lengthUs() + longest + 4 * scenario.rules().answerGraceUs() + 1_000_000;
     }
 
@@ -137,7 +138,8 @@
 
     /** What an attempt takes; it differs from attempt to attempt of the same request. */
     public double attemptWork(NodePort.Try asked, SplittableRandom random) {
-        return asked.workUs() * Chance.spread(random, scenario.classes().get(asked.classIndex()).attemptNoise());
+        return asked.workUs() * Chance.spread(random,
+                scenario.classes().get(asked.classIndex()).attemptNoise());
     }
 
     // ---------------------------------------------------------------- what troubles do
@@ -195,7 +197,8 @@
 
     private ServerEntry entry(AppServer server) {
         int number = Integer.parseInt(server.id().substring(1));
-        return new ServerEntry(server.id(), server.zone(), number / CELL, ServerState.READY, 1, server.startedUs());
+        return new ServerEntry(server.id(), server.zone(), number / CELL, ServerState.READY, 1,
+                server.startedUs());
     }
 
     /** What a node is told at its start. */
@@ -206,7 +209,8 @@
         settings.myZone = scenario.fleet().zoneOfNode(me);
         settings.zones.addAll(scenario.fleet().zones());
         for (Scenario.RequestClass c : scenario.classes()) {
-            settings.classes.add(new Balancer.RequestClass(c.name(), c.aimUs(), 0, c.deadlineUs(), c.worth(), 0,
+            settings.classes.add(new Balancer.RequestClass(c.name(), c.aimUs(), 0, c.deadlineUs(), c.worth(),
+                    0,
                     c.repeat(), Group.ALL, 0, false));
         }
         settings.maxAttempts = scenario.rules().maxAttempts();
@@ -214,12 +218,15 @@
         settings.cancel = scenario.rules().cancel();
         settings.connectTimeoutUs = scenario.net().connectTimeoutUs();
         settings.drainGraceUs = scenario.rules().drainGraceUs();
-        settings.coldFrom = scenario.servers().stream().mapToDouble(Scenario.ServerKind::coldFrom).min().orElseThrow();
-        settings.coldUs = scenario.servers().stream().mapToLong(Scenario.ServerKind::coldUs).max().orElseThrow();
+        settings.coldFrom = scenario.servers().stream().mapToDouble(Scenario.ServerKind::coldFrom).min()
+                .orElseThrow();
+        settings.coldUs = scenario.servers().stream().mapToLong(Scenario.ServerKind::coldUs).max()
+                .orElseThrow();
         settings.fallMultiple = scenario.rules().fallMultiple();
         settings.fallUs = scenario.rules().fallUs();
         settings.crossZonePrice = scenario.prices().crossZone();
-        settings.warmKeys = scenario.servers().stream().anyMatch(kind -> kind.keyGain() > 0) && scenario.load().keys() > 0;
+        settings.warmKeys = scenario.servers().stream().anyMatch(kind -> kind.keyGain() > 0)
+                && scenario.load().keys() > 0;
         settings.reportFields.add(ReportField.QUEUED);
         settings.reportFields.add(ReportField.IN_FLIGHT);
         return settings;
--- a/rig/src/test/java/kitemux/rig/ArchitectureTest.java
+++ b/rig/src/test/java/kitemux/rig/ArchitectureTest.java
@@ -24,9 +24,12 @@
     /** A core is told the time, its chance and all that happens; what it wants done it says. */
     @ArchTest
     static final ArchRule CORES_DO_NOT_REACH_OUT = noClasses().that(CORES).should().dependOnClassesThat()
-            .resideInAnyPackage("java.net..", "java.nio..", "java.io..", "java.time..", "java.util.concurrent..",
-                    "java.lang.reflect..", "io.netty..", "kitemux.node..", "kitemux.adapter..", "org..", "com..")
-            .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
+            .resideInAnyPackage("java.net..", "java.nio..", "java.io..", "java.time..",
+            "java.util.concurrent..",
+                    "java.lang.reflect..", "io.netty..", "kitemux.node..", "kitemux.adapter..", "org..",
+                    "com..")
+            .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class,
+            "currentTimeMillis")
             .orShould().callMethod(Math.class, "random").orShould().dependOnClassesThat()
             .areAssignableTo(Thread.class);
 
@@ -48,11 +51,13 @@
             .whereLayer("history").mayOnlyBeAccessedByLayers("check", "world", "trouble", "play");
 
     @ArchTest
-    static final ArchRule NO_PACKAGES_IN_A_RING = slices().matching("kitemux.rig.(*)..").should().beFreeOfCycles();
+    static final ArchRule NO_PACKAGES_IN_A_RING = slices().matching("kitemux.rig.(*)..").should()
+            .beFreeOfCycles();
 
     /** Virtual time is the only one: a run that looked at the clock could not be played again. */
     @ArchTest
-    static final ArchRule THE_WORLD_HAS_NO_CLOCK = noClasses().that().resideInAnyPackage("kitemux.rig.world..",
+    static final ArchRule THE_WORLD_HAS_NO_CLOCK = noClasses().that()
+            .resideInAnyPackage("kitemux.rig.world..",
             "kitemux.rig.trouble..", "kitemux.rig.check..", "kitemux.rig.baseline..").should()
             .callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
             .orShould().callMethod(Math.class, "random");
--- a/rig/src/test/java/kitemux/rig/check/CheckersTest.java
+++ b/rig/src/test/java/kitemux/rig/check/CheckersTest.java
@@ -31,7 +31,8 @@
 
     private static Scenario scenario(boolean secondCopies) {
         try {
-            return ScenarioFile.parse("name = \"x\"\n[rules]\nsecond_copies = " + secondCopies + "\nmax_attempts = 2",
+            return ScenarioFile.parse("name = \"x\"\n[rules]\nsecond_copies = " + secondCopies
+                    + "\nmax_attempts = 2",
                     Map.of(), List.of("slow"));
         } catch (BadScenarioException e) {
             throw new IllegalStateException(e);
@@ -63,7 +64,8 @@
     }
 
     private static Told list(Told t, long call, long revision, String digest) {
-        return t.add(Kind.INVOKE, "call", call, "op", "list").add(Kind.RETURN, "call", call, "ok", true, "revision",
+        return t.add(Kind.INVOKE, "call", call, "op", "list").add(Kind.RETURN, "call", call, "ok", true,
+                "revision",
                 revision, "digest", digest);
     }
 
@@ -87,23 +89,27 @@
                 of("a late answer", () -> new OneAnswer(50), t -> ask(t, "search"),
                         t -> answer(t.at(1_040), "FAILED"), t -> answer(t.at(1_060), "FAILED")),
                 of("a client that gave up", () -> new OneAnswer(50), t -> ask(t, "search"),
-                        t -> t.at(500).add(Kind.LEFT, "request", 1L), t -> t.at(1_060).add(Kind.LEFT, "request", 1L)),
+                        t -> t.at(500).add(Kind.LEFT, "request", 1L),
+                        t -> t.at(1_060).add(Kind.LEFT, "request", 1L)),
                 of("a second answer", () -> new OneAnswer(50), t -> answer(ask(t, "search"), "REFUSED"),
                         t -> t, t -> answer(t, "REFUSED")),
                 of("an answer nobody made", () -> new OneAnswer(50), t -> send(ask(t, "search"), 0),
                         t -> answer(served(t), "OK"), t -> answer(t, "OK")),
                 of("an unsafe repeat", () -> new Repeats(scenario(true)), t -> send(ask(t, "settle"), 0),
                         t -> send(outcome(t, 0, "FULL"), 1), t -> send(outcome(t, 0, "ERROR"), 1)),
-                of("a repeat while it may run", () -> new Repeats(scenario(true)), t -> send(ask(t, "settle"), 0),
+                of("a repeat while it may run", () -> new Repeats(scenario(true)),
+                t -> send(ask(t, "settle"), 0),
                         t -> t, t -> send(t, 1)),
                 of("a refusal though it may have run", () -> new Repeats(scenario(true)),
                         t -> outcome(send(ask(t, "settle"), 0), 0, "RESET"),
                         t -> answer(t, "FAILED"), t -> answer(t, "REFUSED")),
-                of("too many attempts", () -> new Repeats(scenario(true)), t -> send(send(ask(t, "search"), 0), 1),
+                of("too many attempts", () -> new Repeats(scenario(true)),
+                t -> send(send(ask(t, "search"), 0), 1),
                         t -> t, t -> send(t, 2)),
                 of("two attempts at once", () -> new Repeats(scenario(false)), t -> send(ask(t, "search"), 0),
                         t -> send(outcome(t, 0, "ERROR"), 1), t -> send(t, 1)),
-                of("sent after the end", () -> new Repeats(scenario(true)), t -> answer(ask(t, "search"), "FAILED"),
+                of("sent after the end", () -> new Repeats(scenario(true)),
+                t -> answer(ask(t, "search"), "FAILED"),
                         t -> t, t -> send(t, 0)),
                 of("a drain ignored", () -> new Drains(1_000), t -> told(told(t, "READY"), "DRAINING"),
                         t -> send(t.at(900), 0), t -> send(t.at(1_100), 0)),
@@ -120,7 +126,8 @@
                         t -> send(t.add(Kind.TOLD, "server", "s", "state", "READY", "started", 1L), 0)
                                 .by("s", Kind.FELL)),
                 of("a stale read of a register", Linearizable::new,
-                        t -> invoke(invoke(t, 1, "write", "x").add(Kind.RETURN, "call", 1L, "ok", true), 2, "read", ""),
+                        t -> invoke(invoke(t, 1, "write", "x").add(Kind.RETURN, "call", 1L, "ok", true), 2,
+                        "read", ""),
                         t -> t.add(Kind.RETURN, "call", 2L, "ok", true, "value", "x"),
                         t -> t.add(Kind.RETURN, "call", 2L, "ok", true, "value", "old")),
                 of("a revision used twice", VersionedList::new, t -> put(t, 1, 1), t -> put(t, 2, 2),
@@ -143,7 +150,8 @@
                         t -> t.add(Kind.RETURN, "call", 1L, "number", 7L, "ok", true),
                         t -> t.add(Kind.STARTED, "found", 7L), t -> t.add(Kind.STARTED, "found", 6L)),
                 of("views that stay different", () -> new Converged(1_000),
-                        t -> t.add(Kind.VIEW, "digest", "x").by("q", Kind.VIEW, "digest", "y").add(Kind.HEALED),
+                        t -> t.add(Kind.VIEW, "digest", "x").by("q", Kind.VIEW, "digest", "y")
+                        .add(Kind.HEALED),
                         t -> t.by("q", Kind.VIEW, "digest", "x").at(2_000), t -> t.at(2_000)));
     }
 
--- a/rig/src/test/java/kitemux/rig/check/LinearizableTest.java
+++ b/rig/src/test/java/kitemux/rig/check/LinearizableTest.java
@@ -13,14 +13,19 @@
 
 import kitemux.rig.history.Event.Kind;
 
-/** The search against registers that are known to be right, as each call happens at one moment, and with one lie. */
+/**
+ * The search against registers that are known to be right, as each call happens at one moment, and with one
+ * lie.
+ */
 class LinearizableTest {
     private static final int CALLS = 60;
     private static final int CLIENTS = 5;
 
     private record Step(long atUs, Kind kind, Object[] fields) { }
 
-    /** A true history; in one read of it, chosen by {@code lie}, a value comes back that was never written. */
+    /**
+     * A true history; in one read of it, chosen by {@code lie}, a value comes back that was never written.
+     */
     private static List<Step> history(long seed, int lie) {
         SplittableRandom random = new SplittableRandom(seed);
         long[] free = new long[CLIENTS];
@@ -42,7 +47,8 @@
             switch (random.nextInt(3)) {
                 case 0 -> {
                     value = "v" + i;
-                    steps.add(step(calls.get(i)[0], Kind.INVOKE, "call", id, "op", "write", "key", "k", "value", value));
+                    steps.add(step(calls.get(i)[0], Kind.INVOKE, "call", id, "op", "write", "key", "k",
+                            "value", value));
                     // One in four never comes back, though it happened.
                     if (random.nextInt(4) > 0) {
                         steps.add(step(calls.get(i)[2], Kind.RETURN, "call", id, "ok", true));
@@ -51,7 +57,8 @@
                 case 1 -> {
                     boolean expects = before != null && random.nextBoolean();
                     value = expects ? "v" + i : before;
-                    steps.add(step(calls.get(i)[0], Kind.INVOKE, "call", id, "op", "cas", "key", "k", "expect",
+                    steps.add(step(calls.get(i)[0], Kind.INVOKE, "call", id, "op", "cas", "key", "k",
+                            "expect",
                             expects ? before : "none", "value", "v" + i));
                     steps.add(step(calls.get(i)[2], Kind.RETURN, "call", id, "ok", expects));
                 }
--- a/rig/src/test/java/kitemux/rig/members/MembershipTest.java
+++ b/rig/src/test/java/kitemux/rig/members/MembershipTest.java
@@ -17,7 +17,10 @@
 import kitemux.core.membership.Change;
 import kitemux.core.membership.Settings;
 
-/** Each tricky situation in simulated time, over seeds; what it must come to is that all who live hold the same. */
+/**
+ * Each tricky situation in simulated time, over seeds; what it must come to is that all who live hold the
+ * same.
+ */
 class MembershipTest {
     private static final long PERIOD = 1_000_000;
     /** More of both for a longer hunt. */
@@ -30,7 +33,8 @@
      * @param healPeriods by so many periods after the script is through all have to agree
      * @param deathsAllowed whether it may make somebody hold a process that lives for dead
      */
-    private record Trial(int members, int healPeriods, boolean deathsAllowed, Consumer<MembersWorld> script) { }
+    private record Trial(int members, int healPeriods, boolean deathsAllowed,
+            Consumer<MembersWorld> script) { }
 
     private static void pass(MembersWorld world, double periods) {
         world.time().playUntil(world.time().nowUs() + Math.round(periods * PERIOD));
@@ -56,7 +60,9 @@
             world.fault("healed");
         }));
         trials.put("cut in three and healed", new Trial(21, 15, true, world -> {
-            world.net().cut((a, b) -> Integer.parseInt(a.substring(1)) % 3 != Integer.parseInt(b.substring(1)) % 3);
+            world.net()
+                    .cut((a, b) ->
+                    Integer.parseInt(a.substring(1)) % 3 != Integer.parseInt(b.substring(1)) % 3);
             pass(world, 60);
             world.net().heal();
             world.fault("healed");
@@ -76,7 +82,8 @@
         trials.put("a link flaps every 300 ms", new Trial(12, 15, false, world -> {
             for (int i = 0; i < 100; i++) {
                 boolean off = i % 2 == 0;
-                world.net().cut((a, b) -> off && (a.equals("m3") && b.equals("m4") || a.equals("m4") && b.equals("m3")));
+                world.net().cut((a, b) -> off
+                        && (a.equals("m3") && b.equals("m4") || a.equals("m4") && b.equals("m3")));
                 pass(world, 0.3);
             }
             world.net().heal();
@@ -92,7 +99,8 @@
             pass(world, 60);
             world.member(4).pause(false);
         }));
-        trials.put("three in ten datagrams lost, some come twice and in any order", new Trial(20, 20, false, world -> {
+        trials.put("three in ten datagrams lost, some come twice and in any order",
+                new Trial(20, 20, false, world -> {
             world.net().harm(0.3, 0.1);
             world.net().delay(500, 50_000);
             pass(world, 60);
@@ -155,7 +163,8 @@
         return trials().entrySet().stream().map(entry -> DynamicTest.dynamicTest(entry.getKey(), () -> {
             Trial trial = entry.getValue();
             for (long seed = 1; seed <= SEEDS; seed++) {
-                MembersWorld world = world(seed, trial.members, trial.healPeriods * PERIOD, settings -> settings);
+                MembersWorld world = world(seed, trial.members, trial.healPeriods * PERIOD,
+                        settings -> settings);
                 trial.script.accept(world);
                 long from = world.time().nowUs();
                 long agreed = world.agreedAtUs(PERIOD / 2, from + trial.healPeriods * PERIOD);
@@ -170,7 +179,8 @@
 
     @Test
     void hundredsJoinWithinASecond() {
-        MembersWorld world = new MembersWorld(1, 30 * PERIOD).with(JOINING, settings -> settings).startAll(PERIOD);
+        MembersWorld world = new MembersWorld(1, 30 * PERIOD).with(JOINING, settings -> settings)
+                .startAll(PERIOD);
         pass(world, 1);
         assertEquals(JOINING, world.members().stream().filter(SimMember::isUp).count());
         assertTrue(world.agreedAtUs(PERIOD, 30 * PERIOD) >= 0);
--- a/rig/src/test/java/kitemux/rig/play/PlantedFaultsTest.java
+++ b/rig/src/test/java/kitemux/rig/play/PlantedFaultsTest.java
@@ -54,7 +54,8 @@
                 new Fault("a drain taken for ready", "Drains", "herd", () -> new Planted() {
                     @Override
                     public void onServers(long nowUs, ListKind kind, List<ServerEntry> entries) {
-                        super.onServers(nowUs, kind, entries.stream().filter(e -> e.state() == ServerState.READY
+                        super.onServers(nowUs, kind,
+                                entries.stream().filter(e -> e.state() == ServerState.READY
                                 || kind != ListKind.CHANGES).toList());
                     }
                 }),
@@ -125,7 +126,8 @@
                         }
                     }
                 }),
-                new Fault("more attempts than allowed", "Repeats", "jam rules.max_attempts=1", () -> new Planted() {
+                new Fault("more attempts than allowed", "Repeats", "jam rules.max_attempts=1",
+                () -> new Planted() {
                     @Override
                     Settings given(Settings told) {
                         Settings more = new Settings();
@@ -164,7 +166,8 @@
     void theModuleItselfKeepsTheRulesOnTheSameScenarios() throws Exception {
         for (String name : List.of("calm", "jam", "herd", "hands", "zone")) {
             for (long seed = 1; seed <= 4; seed++) {
-                assertEquals(List.of(), SimPlay.play(scenario(name), seed, Policy.MODULE).violations(), name + seed);
+                assertEquals(List.of(), SimPlay.play(scenario(name), seed, Policy.MODULE).violations(),
+                        name + seed);
             }
         }
     }
@@ -181,7 +184,8 @@
         Violation found = SimPlay.play(scenario, 3, faulty).violations().stream()
                 .filter(v -> v.rule().equals("Cordons")).findFirst().orElseThrow();
         Shrink.Smallest least = Shrink.shrink(scenario, found, lesser -> SimPlay.play(lesser, 3, faulty));
-        assertEquals(List.of("cordoned"), least.scenario().troubles().stream().map(Scenario.Trouble::kind).toList());
+        assertEquals(List.of("cordoned"),
+                least.scenario().troubles().stream().map(Scenario.Trouble::kind).toList());
         assertEquals(1, least.scenario().fleet().nodes());
         assertTrue(least.scenario().lengthUs() < scenario.lengthUs() / 2);
         assertEquals("Cordons", least.violation().rule());
--- a/rig/src/test/java/kitemux/rig/real/ChildTest.java
+++ b/rig/src/test/java/kitemux/rig/real/ChildTest.java
@@ -22,7 +22,8 @@
     private final BlockingQueue<Integer> codes = new LinkedBlockingQueue<>();
 
     private Child start(String command) throws IOException {
-        return new Child("child", command, Map.of("GREETING", "hello"), folder, folder.resolve("log"), codes::add);
+        return new Child("child", command, Map.of("GREETING", "hello"), folder, folder.resolve("log"),
+                codes::add);
     }
 
     private static void await(BooleanSupplier holds) {
@@ -63,7 +64,8 @@
 
     @Test
     void itEndsWithTheRigHoweverThatEnds() throws Exception {
-        // The guard's pipe closes with the process that holds its other end: here a shell that stands in for the rig.
+        // The guard's pipe closes with the process that holds its other end: here a shell that stands in for
+        // the rig.
         Path id = folder.resolve("id");
         Process rig = new ProcessBuilder("sh", "-c", "sleep 1000 | sh -c \"$0\" 'exec sleep 999' >" + id
                 + " & exec sleep 1000", Child.GUARD).start();
--- a/rig/src/test/java/kitemux/rig/real/RealPlayTest.java
+++ b/rig/src/test/java/kitemux/rig/real/RealPlayTest.java
@@ -43,7 +43,8 @@
 
     private Outcome play(String more) throws Exception {
         Scenario scenario = ScenarioFile.parse(FLEET + more, Map.of(), Troubles.names());
-        try (RealPlay play = new RealPlay(scenario, 1, DeployFile.find(Path.of("")), folder, null, this::count)) {
+        try (RealPlay play = new RealPlay(scenario, 1, DeployFile.find(Path.of("")), folder, null,
+                this::count)) {
             return play.play((nowUs, world) -> {
                 if (processes.isEmpty()) {
                     processes.addAll(play.processes());
--- a/rig/src/test/java/kitemux/rig/scenario/ScenarioFileTest.java
+++ b/rig/src/test/java/kitemux/rig/scenario/ScenarioFileTest.java
@@ -15,7 +15,8 @@
     private static final List<String> KINDS = List.of("slow", "vanish");
 
     private static List<String> faults(String toml, Map<String, String> overrides) {
-        return assertThrows(BadScenarioException.class, () -> ScenarioFile.parse(toml, overrides, KINDS)).faults();
+        return assertThrows(BadScenarioException.class, () -> ScenarioFile.parse(toml, overrides, KINDS))
+                .faults();
     }
 
     @Test
@@ -39,7 +40,8 @@
                 "load.per_second = \"many\": must be a number from 0.001 to 1000000",
                 "trouble[0].kind = \"slwo\": must be one of slow, vanish (meant: slow?)",
                 "trouble[0].part = 1.5: must be a number from 0 to 1",
-                "lenght_s = 10: is not known (meant: length_s?); keys here are class, clients, fleet, length_s, list,"
+                "lenght_s = 10: is not known (meant: length_s?); keys here are class, clients, fleet,"
+                        + " length_s, list,"
                         + " load, name, net, prices, rules, server, trouble"), faults);
     }
 
@@ -51,7 +53,8 @@
 
     @Test
     void overridesGoBeforeTheFileAndWhatIsLeftOutHasAValue() throws Exception {
-        Scenario read = ScenarioFile.parse("name = \"x\"\n[load]\nper_second = 5\n[[trouble]]\nkind = \"slow\"\n",
+        Scenario read =
+                ScenarioFile.parse("name = \"x\"\n[load]\nper_second = 5\n[[trouble]]\nkind = \"slow\"\n",
                 Map.of("load.per_second", "7", "trouble.0.kind", "vanish", "net.client_ms", "2.5"), KINDS);
         assertEquals(7, read.load().perSecond());
         assertEquals("vanish", read.troubles().get(0).kind());
