--- a/node/src/main/java/kitemux/node/Node.java
+++ b/node/src/main/java/kitemux/node/Node.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.Supplier;
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
@@ -23,6 +24,8 @@
  */
 public final class Node implements Balancer.Actions {
     private static final long HOUSEKEEPING_MS = 250;
+    /** The loop that does all of the work came to this so much too late: nothing was answered meanwhile. */
+    private static final long HELD_UP_US = 200_000;
     /** By then any other process of this node has looked for cordons, also if it was held up for a while. */
     static final long HEEDED_MS = 2 * HOUSEKEEPING_MS;
 
@@ -50,6 +53,8 @@
     private final Means means;
     private final Requests requests;
     private Future<?> housekeeping;
+    private long housekeptUs;
+    private Supplier<String> moreFigures = () -> "";
     private Future<?> wake;
     private long wakeAtUs;
 
@@ -92,6 +97,11 @@
 
     // ---------------------------------------------------------------- start and end
 
+    /** Lines of figures beside the node's own; before the start. */
+    void alsoReport(Supplier<String> lines) {
+        moreFigures = lines;
+    }
+
     /** Opens the address for operators, which says no until clients can connect; null without one. */
     ChannelFuture startControl() {
         return control == null ? null : control.listen(config.operators().control());
@@ -122,7 +132,13 @@
 
     ChannelFuture start(ServerSocketChannel inherited) {
         watch();
+        housekeptUs = clock.nowUs();
         housekeeping = loop.scheduleAtFixedRate(() -> {
+            long lateUs = clock.nowUs() - housekeptUs - HOUSEKEEPING_MS * 1_000;
+            housekeptUs = clock.nowUs();
+            if (lateUs > HELD_UP_US) {
+                Log.line("held up for " + lateUs / 1_000 + " ms");
+            }
             pool.closeOld();
             clients.closeOld();
             requests.expireStalled();
@@ -176,7 +192,8 @@
 
         @Override
         public String figures() {
-            return counters.text(new Counters.Gauges(requests.open(), pool.listed(), module.skipped()));
+            return counters.text(new Counters.Gauges(requests.open(), pool.listed(), module.skipped()))
+                    + moreFigures.get();
         }
 
         @Override
--- a/node/src/main/java/kitemux/node/RequestLife.java
+++ b/node/src/main/java/kitemux/node/RequestLife.java
@@ -69,6 +69,12 @@
         return ended;
     }
 
+    /** How it stands, for the log. */
+    String told() {
+        return attempts.size() + " attempts made, " + outstanding + " out" + (answering == null ? ""
+                : ", its answer flows");
+    }
+
     /** Whether nothing will be heard of it any more. */
     boolean isOver() {
         return ended && outstanding == 0;
--- a/node/src/main/java/kitemux/node/Requests.java
+++ b/node/src/main/java/kitemux/node/Requests.java
@@ -10,6 +10,8 @@
 /** All requests that a node holds. */
 final class Requests implements ClientServer.Handler, RequestLife.Keeper {
     private static final byte[] NO_BODY = {};
+    /** Clients take an answer for lost that comes half a second after its time. */
+    private static final long LATE_US = 250_000;
 
     private final Means means;
     private final Supplier<Tuning> tuning;
@@ -58,6 +60,11 @@
     @Override
     public void ended(RequestLife request) {
         open -= request.isWhole() ? 1 : 0;
+        long lateUs = means.clock().nowUs() - request.deadlineUs();
+        if (lateUs > LATE_US) {
+            Log.line("request " + request.request.head().txn() + " ended " + lateUs / 1_000 + " ms late, "
+                    + request.told());
+        }
     }
 
     @Override
