Put fault links between the processes of a run, and three troubles of links

Need: runs with processes used the stand-ins' delays and cuts only; resets amid requests, lost answers and slow links could not be told by a scenario, and no fault was planted in what stands in.

--- a/rig/src/main/java/kitemux/rig/real/FaultLink.java
+++ b/rig/src/main/java/kitemux/rig/real/FaultLink.java
@@ -9,11 +9,13 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -73,7 +75,11 @@
     private final SplittableRandom random;
     private final Map<Way, Faults> faults = new EnumMap<>(Way.class);
     private final Set<Passage> passages = new HashSet<>();
-    private final Channel listening;
+    private final InetAddress at;
+    private final int port;
+    private Channel listening;
+    private UnaryOperator<ByteBuf> tampered = UnaryOperator.identity();
+    private Way tamperedWay = Way.FROM_TARGET;
 
     /** Listens at this address; called from outside the loop. */
     public FaultLink(EventLoop loop, String address, InetSocketAddress target, SplittableRandom random) {
@@ -83,19 +89,51 @@
         for (Way way : Way.values()) {
             faults.put(way, Faults.NONE);
         }
-        InetAddress at = new InetSocketAddress(address, 0).getAddress();
-        listening = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        at = new InetSocketAddress(address, 0).getAddress();
+        listening = listen(0).syncUninterruptibly().channel();
+        port = ((InetSocketAddress) listening.localAddress()).getPort();
+    }
+
+    private ChannelFuture listen(int on) {
+        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 1024)
                 .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.AUTO_READ, false)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         connect(channel);
                     }
-                }).bind(at, 0).syncUninterruptibly().channel();
+                }).bind(at, on);
     }
 
     public InetSocketAddress address() {
-        return (InetSocketAddress) listening.localAddress();
+        return new InetSocketAddress(at, port);
+    }
+
+    /**
+     * Whether it takes connections, as the party behind it does. It keeps its port, and connections that stand
+     * go on.
+     */
+    public void setOpen(boolean to) {
+        loop.execute(() -> {
+            if (!to) {
+                listening.close();
+            } else if (!listening.isOpen()) {
+                listening = listen(port).addListener(opened -> {
+                    if (!opened.isSuccess()) {
+                        throw new IllegalStateException("cannot listen at " + address(), opened.cause());
+                    }
+                }).channel();
+            }
+        });
+    }
+
+    /** From now on what goes this way is changed so; it takes over what it is given, for what it gives. */
+    public void tamper(Way way, UnaryOperator<ByteBuf> by) {
+        loop.execute(() -> {
+            tamperedWay = way;
+            tampered = by;
+        });
     }
 
     /** From now on this holds for one direction of all connections. */
@@ -169,7 +207,7 @@
 
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
-            ByteBuf bytes = (ByteBuf) message;
+            ByteBuf bytes = way == tamperedWay ? tampered.apply((ByteBuf) message) : (ByteBuf) message;
             long jitter = now().jitterUs() == 0 ? 0 : random.nextLong(now().jitterUs());
             lastDueNanos = Math.max(lastDueNanos,
                     System.nanoTime() + TimeUnit.MICROSECONDS.toNanos(now().delayUs() + jitter));
@@ -266,7 +304,7 @@
 
     @Override
     public void close() {
-        listening.close();
+        setOpen(false);
         reset();
     }
 }
--- a/rig/src/main/java/kitemux/rig/real/Listener.java
+++ b/rig/src/main/java/kitemux/rig/real/Listener.java
@@ -86,7 +86,12 @@
         }
     }
 
-    String endpoint() {
-        return at.getHostAddress() + ":" + port;
+    InetSocketAddress address() {
+        return new InetSocketAddress(at, port);
+    }
+
+    /** As addresses are written. */
+    static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
 }
--- a/rig/src/main/java/kitemux/rig/real/RealNode.java
+++ b/rig/src/main/java/kitemux/rig/real/RealNode.java
@@ -36,6 +36,7 @@
     private final RealTimeline time;
     private final Asked asked;
     private final StandInList list;
+    private final String discovery;
     private final DeployFile deploy;
     private final Path folder;
     private final ExecutorService outside;
@@ -53,10 +54,11 @@
 
     /**
      * @param address the node's own on loopback
+     * @param discovery where it reaches the list
      * @param outside where what blocks is done: starts, and calls at the control address
      */
     RealNode(int number, String address, World world, RealTimeline time, Asked asked, StandInList list,
-            DeployFile deploy, Path folder, ExecutorService outside) throws IOException {
+            String discovery, DeployFile deploy, Path folder, ExecutorService outside) throws IOException {
         name = "n" + number;
         zone = world.scenario().fleet().zoneOfNode(number);
         settings = world.settings(number);
@@ -64,6 +66,7 @@
         this.time = time;
         this.asked = asked;
         this.list = list;
+        this.discovery = discovery;
         this.deploy = deploy;
         this.folder = Files.createDirectories(folder.resolve(name));
         this.outside = outside;
@@ -79,10 +82,6 @@
         }
     }
 
-    private static String text(InetSocketAddress address) {
-        return address.getAddress().getHostAddress() + ":" + address.getPort();
-    }
-
     private History history() {
         return world.history();
     }
@@ -126,10 +125,10 @@
             try {
                 Path temporary = Files.createDirectories(folder.resolve("tmp" + of));
                 Path config = folder.resolve("config.json");
-                NodeConfigFile.write(config, name, text(listen), list.endpoint(), text(control), seed, known,
-                        settings, world.scenario().net().idleUs());
+                NodeConfigFile.write(config, name, Listener.text(listen), discovery,
+                        Listener.text(control), seed, known, settings, world.scenario().net().idleUs());
                 Child started = new Child(name, deploy.run(), Map.of("PROXY_NAME", name, "PROXY_CONFIG",
-                        config.toString(), "PROXY_LISTEN", text(listen), "PROXY_DISCOVERY", list.endpoint(),
+                        config.toString(), "PROXY_LISTEN", Listener.text(listen), "PROXY_DISCOVERY", discovery,
                         "TMPDIR", temporary.toString()), deploy.root(), folder.resolve("log" + of),
                         code -> time.soon(() -> ended(of, code)));
                 time.soon(() -> begun(of, started));
--- a/rig/src/main/java/kitemux/rig/real/RealPlay.java
+++ b/rig/src/main/java/kitemux/rig/real/RealPlay.java
@@ -47,8 +47,11 @@
     private final List<Checker> checkers;
     private final History history;
     private final World world;
+    private final EventLoop linkLoop;
+    private final ServerLinks links;
     private final Map<String, StandInServer> servers = new LinkedHashMap<>();
     private final List<StandInList> lists = new ArrayList<>();
+    private final List<FaultLink> listLinks = new ArrayList<>();
     private final List<RealNode> nodes = new ArrayList<>();
 
     /**
@@ -68,6 +71,8 @@
         this.seed = seed;
         loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         time = new RealTimeline(loop, seed);
+        linkLoop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        links = new ServerLinks(linkLoop, time.stream("links"));
         checkers = new ArrayList<>(Rules.of(scenario, SLACK_US));
         checkers.add(new NoCrash());
         List<History.Reader> readers = new ArrayList<>(checkers);
@@ -75,6 +80,7 @@
         readers.add(reader);
         history = new History(time, readers, file, false);
         world = new World(scenario, time, history);
+        world.links().carriedBy(links);
         Asked asked = new Asked(world, history);
         int number = 0;
         for (String id : world.servers().keySet()) {
@@ -83,11 +89,16 @@
             number++;
         }
         for (int i = 0; i < scenario.fleet().nodes(); i++) {
+            int of = i;
+            servers.forEach((id, server) -> links.add(of, id, server.address()));
             StandInList list = new StandInList("127.3.0." + (1 + i), time, scenario.fleet().zones(),
-                    id -> servers.get(id).endpoint());
+                    id -> Listener.text(links.link(of, id).address()));
             lists.add(list);
-            RealNode node = new RealNode(i, "127.1.0." + (1 + i), world, time, asked, list, deploy, folder,
-                    outside);
+            FaultLink listLink = new FaultLink(linkLoop, "127.5.0." + (1 + i), list.address(),
+                    time.stream("list link " + i));
+            listLinks.add(listLink);
+            RealNode node = new RealNode(i, "127.1.0." + (1 + i), world, time, asked, list,
+                    Listener.text(listLink.address()), deploy, folder, outside);
             nodes.add(node);
             world.add(node);
         }
@@ -98,7 +109,10 @@
         StandInServer server = servers.get(event.process());
         if (server != null && (event.kind() == Event.Kind.STARTED || event.kind() == Event.Kind.KILLED)) {
             // Later, as a machine that falls silent is killed first.
-            time.after(0, server::follow);
+            time.after(0, () -> {
+                server.follow();
+                links.follow(event.process(), server.isOpen());
+            });
         }
     }
 
@@ -158,6 +172,16 @@
         }
     }
 
+    /** The way of a node to an app server. */
+    FaultLink link(int node, String server) {
+        return links.link(node, server);
+    }
+
+    /** The way of a node to its list. */
+    FaultLink listLink(int node) {
+        return listLinks.get(node);
+    }
+
     /** The ids of the nodes' processes. */
     public List<Long> processes() {
         return nodes.stream().map(RealNode::pid).toList();
@@ -179,6 +203,9 @@
             servers.values().forEach(StandInServer::close);
             lists.forEach(StandInList::close);
         }).awaitUninterruptibly();
+        links.close();
+        listLinks.forEach(FaultLink::close);
+        linkLoop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
         loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 }
--- /dev/null
+++ b/rig/src/main/java/kitemux/rig/real/ServerLinks.java
@@ -0,0 +1,70 @@
+package kitemux.rig.real;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+import io.netty.channel.EventLoop;
+
+import kitemux.rig.real.FaultLink.Faults;
+import kitemux.rig.real.FaultLink.Way;
+import kitemux.rig.world.Links;
+
+/** The ways of nodes to app servers, a fault link for each pair, on a loop of their own. */
+final class ServerLinks implements Links.Carrier {
+    private final EventLoop loop;
+    private final SplittableRandom random;
+    private final Map<String, Map<Integer, FaultLink>> byServer = new LinkedHashMap<>();
+    private final Map<String, Long> slower = new HashMap<>();
+
+    ServerLinks(EventLoop loop, SplittableRandom random) {
+        this.loop = loop;
+        this.random = random;
+    }
+
+    /** One more; called from outside the loop. */
+    void add(int node, String server, InetSocketAddress target) {
+        byServer.computeIfAbsent(server, id -> new LinkedHashMap<>())
+                .put(node, new FaultLink(loop, "127.4.0." + (1 + node), target, random.split()));
+    }
+
+    FaultLink link(int node, String server) {
+        return byServer.get(server).get(node);
+    }
+
+    private Iterable<FaultLink> to(String server) {
+        return byServer.getOrDefault(server, Map.of()).values();
+    }
+
+    /** The server takes connections, or none any more: a link that still did would tell another story. */
+    void follow(String server, boolean open) {
+        to(server).forEach(link -> link.setOpen(open));
+    }
+
+    @Override
+    public void slow(String server, long us) {
+        slower.put(server, us);
+        to(server).forEach(link -> link.set(usual(server)));
+    }
+
+    @Override
+    public void mute(String server, boolean to) {
+        to(server).forEach(link -> link.set(Way.FROM_TARGET, to ? Faults.SILENT : usual(server)));
+    }
+
+    private Faults usual(String server) {
+        return Faults.delayed(slower.getOrDefault(server, 0L), 0);
+    }
+
+    @Override
+    public void reset(String server) {
+        to(server).forEach(FaultLink::reset);
+    }
+
+    void close() {
+        List.copyOf(byServer.values()).forEach(links -> links.values().forEach(FaultLink::close));
+    }
+}
--- a/rig/src/main/java/kitemux/rig/real/StandInList.java
+++ b/rig/src/main/java/kitemux/rig/real/StandInList.java
@@ -1,5 +1,6 @@
 package kitemux.rig.real;
 
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -52,8 +53,8 @@
         listener.open();
     }
 
-    String endpoint() {
-        return listener.endpoint();
+    InetSocketAddress address() {
+        return listener.address();
     }
 
     void close() {
--- a/rig/src/main/java/kitemux/rig/real/StandInServer.java
+++ b/rig/src/main/java/kitemux/rig/real/StandInServer.java
@@ -1,5 +1,6 @@
 package kitemux.rig.real;
 
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.SplittableRandom;
@@ -39,13 +40,18 @@
         listener.open();
     }
 
-    String endpoint() {
-        return listener.endpoint();
+    InetSocketAddress address() {
+        return listener.address();
+    }
+
+    /** Whether connections to it are taken: by its process, or by a machine that says nothing. */
+    boolean isOpen() {
+        return server.isUp() || server.isSilent();
     }
 
     /** Follows the model: a silent machine's connections stay open, a dead process's are reset. */
     void follow() {
-        if (server.isUp() || server.isSilent()) {
+        if (isOpen()) {
             listener.open();
         } else {
             listener.close();
--- a/rig/src/main/java/kitemux/rig/trouble/Troubles.java
+++ b/rig/src/main/java/kitemux/rig/trouble/Troubles.java
@@ -14,10 +14,13 @@
             Map.entry("heavy_tail", new HeavyTail()),
             Map.entry("herd", new Herd()),
             Map.entry("list_down", new ListDown()),
+            Map.entry("lost_answers", new LostAnswers()),
             Map.entry("partition", new Partition()),
             Map.entry("release", new Release()),
+            Map.entry("resets", new Resets()),
             Map.entry("rolling_restart", new RollingRestart()),
             Map.entry("slow", new Slow()),
+            Map.entry("slow_links", new SlowLinks()),
             Map.entry("vanish", new Vanish()),
             Map.entry("zone_lost", new ZoneLost())));
 
--- a/rig/src/main/java/kitemux/rig/world/AppServer.java
+++ b/rig/src/main/java/kitemux/rig/world/AppServer.java
@@ -1,9 +1,11 @@
 package kitemux.rig.world;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
@@ -193,6 +195,17 @@
         paused = false;
     }
 
+    /** All its connections break: what is in its slots goes on, for nobody. */
+    void breakConnections() {
+        List<Job> broken = new ArrayList<>(inWork);
+        broken.addAll(queued);
+        queued.clear();
+        for (Job job : broken) {
+            end(job, Result.RESET);
+            job.unwanted = true;
+        }
+    }
+
     /** Its machine says nothing any more, though connections stay open; ended by {@link #start}. */
     public void fallSilent() {
         kill();
--- a/rig/src/main/java/kitemux/rig/world/SimNode.java
+++ b/rig/src/main/java/kitemux/rig/world/SimNode.java
@@ -95,7 +95,7 @@
                 server.giveUp(job);
                 ended(connected ? Result.TIMEOUT : Result.CONNECT_FAILED, null);
             });
-            long tripUs = world.links().delay(random, zone, server.zone());
+            long tripUs = world.links().delay(random, zone, server);
             Connections to = connections.computeIfAbsent(server.id(), id -> new Connections());
             if (to.of != server.startedUs() || time.nowUs() - to.usedAtUs > world.links().net().idleUs()) {
                 to.of = server.startedUs();
@@ -145,10 +145,10 @@
         }
 
         private void replied(Result result, double[] report) {
-            if (isCutOff()) {
+            if (isCutOff() || world.links().isMute(server)) {
                 return;
             }
-            later(world.links().delay(random, server.zone(), zone), () -> {
+            later(world.links().delay(random, zone, server), () -> {
                 if (!over) {
                     free(result);
                     ended(result, report);
--- a/rig/src/test/java/kitemux/rig/play/PlantedFaultsTest.java
+++ b/rig/src/test/java/kitemux/rig/play/PlantedFaultsTest.java
@@ -30,7 +30,7 @@
 import kitemux.rig.trouble.Troubles;
 import kitemux.rig.world.Policy;
 
-/** Ten faults planted in the module, each of which the referee has to catch on a scenario that meets it. */
+/** Faults planted in the module, each of which the referee has to catch on a scenario that meets it. */
 class PlantedFaultsTest {
 
     private record Fault(String what, String rule, String scenario, Supplier<Planted> planted) { }
@@ -164,7 +164,7 @@
 
     @Test
     void theModuleItselfKeepsTheRulesOnTheSameScenarios() throws Exception {
-        for (String name : List.of("calm", "jam", "herd", "hands", "zone")) {
+        for (String name : List.of("calm", "jam", "herd", "hands", "links", "zone")) {
             for (long seed = 1; seed <= 4; seed++) {
                 assertEquals(List.of(), SimPlay.play(scenario(name), seed, Policy.MODULE).violations(),
                         name + seed);
--- a/rig/src/test/java/kitemux/rig/real/RealPlayTest.java
+++ b/rig/src/test/java/kitemux/rig/real/RealPlayTest.java
@@ -4,12 +4,18 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -39,12 +45,18 @@
     @TempDir
     private Path folder;
     private final Map<Kind, Integer> counts = new ConcurrentHashMap<>();
+    private final Set<String> outcomes = ConcurrentHashMap.newKeySet();
     private final List<Long> processes = new ArrayList<>();
 
     private Outcome play(String more) throws Exception {
+        return play(more, begun -> { });
+    }
+
+    private Outcome play(String more, Consumer<RealPlay> prepare) throws Exception {
         Scenario scenario = ScenarioFile.parse(FLEET + more, Map.of(), Troubles.names());
         try (RealPlay play = new RealPlay(scenario, 1, DeployFile.find(Path.of("")), folder, null,
                 this::count)) {
+            prepare.accept(play);
             return play.play((nowUs, world) -> {
                 if (processes.isEmpty()) {
                     processes.addAll(play.processes());
@@ -58,6 +70,9 @@
     }
 
     private void count(Event event) {
+        if (event.kind() == Kind.OUTCOME) {
+            outcomes.add(event.text("result"));
+        }
         counts.merge(event.kind(), 1, Integer::sum);
     }
 
@@ -103,6 +118,67 @@
         assertEquals(2, counts.get(Kind.KILLED));
     }
 
+    @Test
+    void linksThatLoseAnswersAndBreakAmidRequestsMakeNodesBreakNoRule() throws Exception {
+        Outcome outcome = play("""
+                [[trouble]]
+                kind = "slow_links"
+                at_s = 0.5
+                length_s = 2
+                part = 0.34
+                size = 30
+                [[trouble]]
+                kind = "lost_answers"
+                at_s = 1
+                length_s = 2
+                part = 0.17
+                [[trouble]]
+                kind = "resets"
+                at_s = 2
+                length_s = 2
+                part = 0.34
+                size = 0.2
+                """);
+        assertEquals(List.of(), outcome.violations());
+        // What a node gave up on, and what broke under it, as the servers saw it.
+        assertTrue(outcomes.contains("CANCELLED"), outcomes.toString());
+    }
+
+    /** Changes text that is sent in one piece, keeping its length. */
+    private static UnaryOperator<ByteBuf> changing(UnaryOperator<String> change) {
+        return bytes -> {
+            String text = bytes.toString(StandardCharsets.ISO_8859_1);
+            bytes.release();
+            return Unpooled.copiedBuffer(change.apply(text), StandardCharsets.ISO_8859_1);
+        };
+    }
+
+    /** Faults planted in what stands in: a referee that believed its own side would be none. */
+    @Test
+    void anAnswerThatWasMadeForAnotherRequestIsCaught() throws Exception {
+        Outcome outcome = play("", play -> play.link(0, "s0").tamper(FaultLink.Way.FROM_TARGET,
+                changing(text -> text.startsWith("HTTP/1.1 200")
+                        ? text.substring(0, text.length() - 1) + "x" : text)));
+        assertTrue(outcome.violations().stream().anyMatch(v -> v.rule().equals("OneAnswer")),
+                outcome.violations().toString());
+    }
+
+    @Test
+    void aListThatTellsNoDrainIsCaught() throws Exception {
+        Outcome outcome = play("""
+                [rules]
+                drain_grace_ms = 50
+                [[trouble]]
+                kind = "release"
+                at_s = 0.5
+                length_s = 4
+                part = 0.5
+                """, play -> play.listLink(0).tamper(FaultLink.Way.FROM_TARGET,
+                changing(text -> text.replace("\"Terminating\"", "\"Ready\"      "))));
+        assertTrue(outcome.violations().stream().anyMatch(v -> v.rule().equals("Drains")),
+                outcome.violations().toString());
+    }
+
     @Test
     void nodesToldToEndLoseNothing() throws Exception {
         Outcome outcome = play("""
