Drive membership in the program: datagrams, exchanges, settings, figures

Need: the core of membership was played in simulated time only. Change: kitemux.members, the object fleet of the configuration, figures in the node's counters; the core tells round trips, notices that it stood still and puts its suspicions off, and its identity is a class of its own; rumors fill 880 bytes, so that the longest names fit into 1,400; a study and a check of all orders.

--- a/node/src/main/java/kitemux/core/membership/Member.java
+++ b/node/src/main/java/kitemux/core/membership/Member.java
@@ -3,7 +3,7 @@
 /**
  * A member as somebody holds it.
  *
- * @param name the same after a restart; at most {@link #MOST_NAME} characters
+ * @param name the same after a restart
  * @param address where it is spoken to, as its driver writes addresses
  * @param zone where it is
  * @param role what it does
@@ -11,9 +11,18 @@
 public record Member(String name, String address, String zone, String role, Incarnation incarnation,
         State state) {
     /** Longest name, address, zone or role: a datagram has to hold several members. */
-    public static final int MOST_NAME = 64;
+    private static final int MOST_NAME = 64;
+    /** What {@link #isName} allows, in words. */
+    public static final String NAMES = "1 to " + MOST_NAME + " characters of ASCII without spaces";
 
-    Member in(State other) {
+    /** Whether this may be a name, address, zone or role. */
+    public static boolean isName(String text) {
+        return text != null && !text.isEmpty() && text.length() <= MOST_NAME
+                && text.chars().allMatch(c -> c > ' ' && c < 0x7f);
+    }
+
+    /** The same in another state. */
+    public Member in(State other) {
         return new Member(name, address, zone, role, incarnation, other);
     }
 
--- a/node/src/main/java/kitemux/core/membership/Membership.java
+++ b/node/src/main/java/kitemux/core/membership/Membership.java
@@ -44,22 +44,20 @@
         /** Tells the listener. */
         void changed(Change change);
 
+        /** A member that was asked answered after so long. */
+        void roundTrip(long us);
+
         /** Calls {@link #onWake} at this time or soon after; the last call counts. */
         void wakeAt(long atUs);
     }
 
-    /** Somebody with this process's name, who is asked whether he lives. */
-    private record Rival(Member member, long number, long untilUs) { }
-
     private final Settings set;
     private final Actions out;
     private final SplittableRandom random;
     private final Prober prober;
     private final Rumors rumors = new Rumors();
     private final View others = new View();
-    private Member self;
-    private Rival rival;
-    private String takenOverFrom;
+    private final Identity identity;
     private boolean over;
     private long version;
     private long nowUs;
@@ -67,6 +65,8 @@
     private long forgetAtUs = Long.MAX_VALUE;
     private long lostAtUs = Long.MAX_VALUE;
     private long gossipAtUs = Long.MAX_VALUE;
+    /** When it asked to be called; much later means that it stood still. */
+    private long wakeAtUs = Long.MAX_VALUE;
 
     /** @param birthUs when this process began, in microseconds of Unix time */
     public Membership(Settings settings, long seed, long birthUs, Actions actions) {
@@ -74,12 +74,43 @@
         set = settings;
         out = actions;
         random = new SplittableRandom(seed);
-        self = new Member(set.name(), set.address(), set.zone(), set.role(), new Incarnation(birthUs, 0),
-                State.ALIVE);
+        identity = new Identity(set, birthUs, new Identity.Outside() {
+            @Override
+            public long number() {
+                return prober.number();
+            }
+
+            @Override
+            public void send(String address, Message message) {
+                Membership.this.send(address, message);
+            }
+
+            @Override
+            public void wasSuspected() {
+                prober.wasSuspected();
+            }
+
+            @Override
+            public void announced(Member self) {
+                rumors.add(new Rumor(self, self.name()));
+                version++;
+            }
+
+            @Override
+            public void gaveWay(Member to) {
+                end();
+                tell(Change.Kind.GAVE_WAY, to);
+            }
+
+            @Override
+            public void tookOver(Member from) {
+                tell(Change.Kind.TAKEN_OVER, from);
+            }
+        });
         prober = new Prober(set, random, new Prober.Outside() {
             @Override
             public Member self() {
-                return self;
+                return identity.self();
             }
 
             @Override
@@ -97,9 +128,14 @@
                 Membership.this.send(address, message);
             }
 
+            @Override
+            public void roundTrip(long us) {
+                out.roundTrip(us);
+            }
+
             @Override
             public void silent(String name) {
-                hear(new Rumor(others.get(name).member().in(State.SUSPECT), self.name()), false);
+                hear(new Rumor(others.get(name).member().in(State.SUSPECT), self().name()), false);
             }
         });
     }
@@ -111,11 +147,16 @@
         TreeMap<String, Member> byName = new TreeMap<>();
         others.liveOnes().forEach(member -> byName.put(member.name(), member));
         if (!over) {
-            byName.put(self.name(), self);
+            byName.put(self().name(), self());
         }
         return List.copyOf(byName.values());
     }
 
+    /** How many are held for live, this process included. */
+    public int live() {
+        return others.live() + (over ? 0 : 1);
+    }
+
     /** Grows with each change. */
     public long version() {
         return version;
@@ -123,11 +164,11 @@
 
     /** Equal for two processes that hold the same members, in the same lives, for live. */
     public long digest() {
-        return others.digest() + (over ? 0 : View.hash(self));
+        return others.digest() + (over ? 0 : View.hash(self()));
     }
 
     public Member self() {
-        return self;
+        return identity.self();
     }
 
     /** How much this process doubts itself, from 0. */
@@ -141,7 +182,7 @@
     public void start(long now) {
         nowUs = now;
         prober.start(now);
-        rumors.add(new Rumor(self, self.name()));
+        rumors.add(new Rumor(self(), self().name()));
         exchangeAtUs = now;
         lostAtUs = now + set.periodUs();
         schedule();
@@ -153,11 +194,11 @@
         if (over) {
             return;
         }
-        self = self.in(State.LEFT);
+        identity.left();
         List<Member> to = new ArrayList<>(others.liveOnes());
         int told = Math.min(to.size(), GOODBYES * logOf(to.size()));
         for (int i = 0; i < told; i++) {
-            out.send(to.remove(random.nextInt(to.size())).address(), new Message.Gossip(self, List.of()));
+            out.send(to.remove(random.nextInt(to.size())).address(), new Message.Gossip(self(), List.of()));
         }
         end();
     }
@@ -165,7 +206,7 @@
     private void end() {
         over = true;
         prober.stop();
-        rumors.forget(self.name());
+        rumors.forget(self().name());
     }
 
     /** Whether it takes part no more: it has left or given way. */
@@ -174,21 +215,17 @@
     }
 
     public void onWake(long now) {
-        nowUs = now;
+        begin(now);
         if (over) {
             return;
         }
         prober.onTime(now);
-        for (Entry entry : others.nextSuspicionUs() > now ? List.<Entry>of() : List.copyOf(others.all())) {
-            if (entry.suspicion() != null && entry.suspicion().endsUs() <= now) {
-                hear(new Rumor(entry.member().in(State.DEAD), self.name()), false);
+        for (Entry entry : others.nextSuspicionUs() > now ? List.<Entry>of() : others.suspected()) {
+            if (entry.suspicion().endsUs() <= now) {
+                hear(new Rumor(entry.member().in(State.DEAD), self().name()), false);
             }
         }
-        if (rival != null && rival.untilUs <= now) {
-            // Nobody there: it was an earlier life of this process, by a clock that was ahead.
-            raiseAbove(rival.member.incarnation());
-            rival = null;
-        }
+        identity.onTime(now);
         if (now >= exchangeAtUs) {
             exchange();
         }
@@ -204,6 +241,20 @@
         schedule();
     }
 
+    /**
+     * An event begins. One that comes when it should have been called long ago tells that this process stood
+     * still: it doubts itself, and gives those whom it suspects the time that it did not hear them.
+     */
+    private void begin(long now) {
+        nowUs = now;
+        long late = now - wakeAtUs;
+        if (late > set.periodUs() && !over) {
+            wakeAtUs = now;
+            prober.stoodStill();
+            others.suspected().forEach(entry -> entry.suspicion().putOff(late));
+        }
+    }
+
     private void schedule() {
         if (over) {
             return;
@@ -213,7 +264,8 @@
         }
         long at = Math.min(Math.min(prober.nextUs(), exchangeAtUs), Math.min(forgetAtUs, lostAtUs));
         at = Math.min(at, Math.min(gossipAtUs, others.nextSuspicionUs()));
-        out.wakeAt(Math.max(nowUs, rival == null ? at : Math.min(at, rival.untilUs)));
+        wakeAtUs = Math.max(nowUs, Math.min(at, identity.nextUs()));
+        out.wakeAt(wakeAtUs);
     }
 
     /** Passes on what is new, for as long as there is some. */
@@ -221,7 +273,7 @@
         gossipAtUs = Long.MAX_VALUE;
         List<Member> to = new ArrayList<>(others.liveOnes());
         for (int i = 0; i < set.askers() && !to.isEmpty() && rumors.size() > 0; i++) {
-            send(to.remove(random.nextInt(to.size())).address(), new Message.Gossip(self, List.of()));
+            send(to.remove(random.nextInt(to.size())).address(), new Message.Gossip(self(), List.of()));
         }
     }
 
@@ -251,7 +303,8 @@
                 && others.members().noneMatch(m -> m.address().equals(seed))).toList();
         int choice = dead.size() + seeds.size() == 0 ? -1 : random.nextInt(dead.size() + seeds.size());
         if (choice >= 0 && choice < dead.size()) {
-            send(dead.get(choice).address(), new Message.Ping(prober.number(), dead.get(choice).name(), self,
+            send(dead.get(choice).address(),
+                    new Message.Ping(prober.number(), dead.get(choice).name(), self(),
                     List.of()));
         } else if (choice >= 0 && others.live() > 0) {
             out.exchange(seeds.get(choice - dead.size()));
@@ -282,14 +335,14 @@
     /** All that is known, for an exchange. */
     public List<Rumor> state() {
         List<Rumor> all = new ArrayList<>(others.size() + 1);
-        all.add(new Rumor(self, self.name()));
-        others.members().forEach(member -> all.add(new Rumor(member, self.name())));
+        all.add(new Rumor(self(), self().name()));
+        others.members().forEach(member -> all.add(new Rumor(member, self().name())));
         return all;
     }
 
     /** What another has told of all that it knows. */
     public void onState(long now, List<Rumor> all) {
-        nowUs = now;
+        begin(now);
         if (over) {
             return;
         }
@@ -306,7 +359,7 @@
             // Whoever is suspected or held for dead is to hear of it first, so that it can contradict.
             Entry target = others.get(ping.to());
             if (target != null && target.member().state() != State.ALIVE) {
-                riding.add(new Rumor(target.member(), self.name()));
+                riding.add(new Rumor(target.member(), self().name()));
             }
         }
         int left = set.roomBytes() - riding.stream().mapToInt(Rumors::size).sum();
@@ -319,7 +372,7 @@
     }
 
     public void onMessage(long now, Message message) {
-        nowUs = now;
+        begin(now);
         if (over) {
             return;
         }
@@ -347,29 +400,26 @@
         boolean returns = before != null && before.member().state() == State.DEAD;
         hear(new Rumor(ping.from(), ping.from().name()), false);
         // Whoever has taken the address of the one that is meant is not him.
-        if (over || !ping.to().equals(self.name())) {
+        if (over || !ping.to().equals(self().name())) {
             return;
         }
         List<Rumor> told = new ArrayList<>();
         if (returns && before.member().state() == State.DEAD) {
             // It does not know yet that it was given up: let it contradict, and learn what else it missed.
-            told.add(new Rumor(before.member(), self.name()));
+            told.add(new Rumor(before.member(), self().name()));
             out.exchange(ping.from().address());
         }
         told.addAll(rumors.take(set.roomBytes() - told.stream().mapToInt(Rumors::size).sum(),
                 set.spread() * logOf(others.live() + 1)));
-        out.send(ping.from().address(), new Message.Ack(ping.number(), self, told));
+        out.send(ping.from().address(), new Message.Ack(ping.number(), self(), told));
     }
 
     private void onAck(Message.Ack ack) {
-        if (rival != null && ack.number() == rival.number
-                && ack.from().address().equals(rival.member.address())
-                && ack.from().name().equals(self.name())) {
-            giveWay(ack.from());
+        if (identity.isRivalsAnswer(ack)) {
             return;
         }
         hear(new Rumor(ack.from(), ack.from().name()), false);
-        prober.onAck(ack);
+        prober.onAck(nowUs, ack);
     }
 
     // ---------------------------------------------------------------- what is heard
@@ -380,8 +430,8 @@
      */
     private void hear(Rumor rumor, boolean old) {
         Member told = rumor.member();
-        if (told.name().equals(self.name())) {
-            aboutSelf(told);
+        if (told.name().equals(self().name())) {
+            identity.heard(nowUs, told);
             return;
         }
         Entry entry = others.get(told.name());
@@ -395,7 +445,7 @@
             } else if (entry.member().state() == State.ALIVE) {
                 apply(entry, new Rumor(told.in(State.SUSPECT), rumor.by()));
                 // At once, as many at a time are held for dead by the other side of what was cut.
-                send(told.address(), new Message.Ping(prober.number(), told.name(), self, List.of()));
+                send(told.address(), new Message.Ping(prober.number(), told.name(), self(), List.of()));
             }
         } else if (entry.suspicion() != null && told.state() == State.SUSPECT
                 && told.incarnation().equals(entry.member().incarnation())
@@ -467,7 +517,8 @@
                 Math.log10(others.live() + 1)) * set.periodUs());
         // Where fewer others are there to confirm it, fewer are waited for.
         int wanted = Math.max(0, Math.min(set.confirmations(), others.live() - 2));
-        entry.suspect(new Suspicion(nowUs, least, wanted == 0 ? least : set.suspicionMost() * least, wanted,
+        others.suspect(entry,
+                new Suspicion(nowUs, least, wanted == 0 ? least : set.suspicionMost() * least, wanted,
                 rumor.by()));
         tell(Change.Kind.SUSPECTED, entry.member());
     }
@@ -480,46 +531,4 @@
         version++;
         out.changed(new Change(kind, member, version));
     }
-
-    // ---------------------------------------------------------------- what is heard of itself
-
-    private void aboutSelf(Member told) {
-        if (told.address().equals(self.address())) {
-            if (told.incarnation().birth() > self.incarnation().birth()) {
-                // An earlier life at this address, by a clock that was ahead of this one's.
-                raiseAbove(told.incarnation());
-            } else if (told.state() != State.ALIVE && told.incarnation().compareTo(self.incarnation()) >= 0) {
-                prober.wasSuspected();
-                announce(told.incarnation().refuted());
-            }
-        } else if (self.in(State.ALIVE).overrides(told.in(State.ALIVE))) {
-            // This process began later, and keeps the name. Whoever has it elsewhere is told so, once.
-            if (told.state().isLive() && !told.address().equals(takenOverFrom)) {
-                takenOverFrom = told.address();
-                tell(Change.Kind.TAKEN_OVER, told);
-                send(told.address(), new Message.Ping(prober.number(), told.name(), self, List.of()));
-            }
-        } else if (!told.state().isLive()) {
-            raiseAbove(told.incarnation());
-        } else if (rival == null) {
-            // Another process that began later, or an earlier life of this one elsewhere: only asking tells.
-            rival = new Rival(told, prober.number(), nowUs + set.suspicionPeriods() * set.periodUs());
-            send(told.address(), new Message.Ping(rival.number, told.name(), self, List.of()));
-        }
-    }
-
-    private void raiseAbove(Incarnation other) {
-        announce(new Incarnation(other.birth() + 1, 0));
-    }
-
-    private void announce(Incarnation next) {
-        self = self.with(next, State.ALIVE);
-        rumors.add(new Rumor(self, self.name()));
-        version++;
-    }
-
-    private void giveWay(Member to) {
-        end();
-        tell(Change.Kind.GAVE_WAY, to);
-    }
 }
--- a/node/src/main/java/kitemux/core/membership/Prober.java
+++ b/node/src/main/java/kitemux/core/membership/Prober.java
@@ -26,6 +26,9 @@
 
         void send(String address, Message message);
 
+        /** An answer took so long. */
+        void roundTrip(long us);
+
         /** This one has not answered. */
         void silent(String name);
     }
@@ -44,6 +47,7 @@
 
     private String asked;
     private long askedNumber;
+    private long askedAtUs;
     private boolean answered;
     private boolean passedOn;
     private int wordsDue;
@@ -76,6 +80,12 @@
         health = Math.max(0, Math.min(set.healthMost(), health + more));
     }
 
+    /** This process stood still: answers may have come meanwhile, and wait to be read. */
+    void stoodStill() {
+        doubt(1);
+        asked = null;
+    }
+
     /** It was suspected and has contradicted: others had no word of it in time. */
     void wasSuspected() {
         doubt(1);
@@ -139,6 +149,7 @@
         }
         asked = next.name();
         askedNumber = number();
+        askedAtUs = nowUs;
         answered = false;
         passedOn = false;
         wordsDue = 0;
@@ -190,8 +201,11 @@
 
     // ---------------------------------------------------------------- messages
 
-    void onAck(Message.Ack ack) {
+    void onAck(long nowUs, Message.Ack ack) {
         if (ack.number() == askedNumber && asked != null) {
+            if (!answered && !passedOn) {
+                outside.roundTrip(nowUs - askedAtUs);
+            }
             answered = true;
             return;
         }
--- a/node/src/main/java/kitemux/core/membership/Rumors.java
+++ b/node/src/main/java/kitemux/core/membership/Rumors.java
@@ -74,18 +74,10 @@
         return taken;
     }
 
-    /** At least as many bytes as a codec needs; texts may take three for a character. */
+    /** At least as many bytes as a codec needs. */
     static int size(Rumor rumor) {
         Member m = rumor.member();
-        return OVERHEAD + bytes(m.name()) + bytes(m.address()) + bytes(m.zone()) + bytes(m.role())
-                + bytes(rumor.by());
-    }
-
-    private static int bytes(String text) {
-        int bytes = 0;
-        for (int i = 0; i < text.length(); i++) {
-            bytes += text.charAt(i) < 0x80 ? 1 : 3;
-        }
-        return bytes;
+        return OVERHEAD + m.name().length() + m.address().length() + m.zone().length() + m.role().length()
+                + rumor.by().length();
     }
 }
--- a/node/src/main/java/kitemux/core/membership/Settings.java
+++ b/node/src/main/java/kitemux/core/membership/Settings.java
@@ -22,6 +22,8 @@
 public record Settings(String name, String address, String zone, String role, long periodUs, long answerUs,
         int askers, int suspicionPeriods, int suspicionMost, int confirmations, int healthMost, int spread,
         long syncUs, long forgetUs, int mostMembers, int roomBytes, List<String> seeds) {
+    /** What is left of a datagram of 1,400 bytes beside the longest of everything else in it. */
+    public static final int MOST_ROOM = 880;
 
     /**
      * The defaults; {@code docs/membership.md} tells how each follows from the period and the number of
@@ -29,7 +31,7 @@
      */
     public static Settings of(String name, String address, String zone, String role, List<String> seeds) {
         return new Settings(name, address, zone, role, 1_000_000, 400_000, 3, 4, 6, 3, 8, 4, 30_000_000,
-                3_600_000_000L, 10_000, 1_200, List.copyOf(seeds));
+                3_600_000_000L, 10_000, MOST_ROOM, List.copyOf(seeds));
     }
 
     /** Throws IllegalArgumentException, naming the field, its value and what is allowed. */
@@ -49,13 +51,12 @@
         require(syncUs >= periodUs, "syncUs", syncUs, "at least periodUs");
         require(forgetUs >= syncUs, "forgetUs", forgetUs, "at least syncUs");
         require(mostMembers >= 2, "mostMembers", mostMembers, "at least 2");
-        require(roomBytes >= 400 && roomBytes <= 60_000, "roomBytes", roomBytes, "400 to 60000");
+        require(roomBytes >= 400 && roomBytes <= MOST_ROOM, "roomBytes", roomBytes, "400 to " + MOST_ROOM);
     }
 
     private static void text(String field, String value) {
-        if (value == null || value.isBlank() || value.length() > Member.MOST_NAME) {
-            throw new IllegalArgumentException(field + " = " + value + ": must be 1 to " + Member.MOST_NAME
-                    + " characters");
+        if (!Member.isName(value)) {
+            throw new IllegalArgumentException(field + " = " + value + ": must be " + Member.NAMES);
         }
     }
 
--- a/node/src/main/java/kitemux/core/membership/Suspicion.java
+++ b/node/src/main/java/kitemux/core/membership/Suspicion.java
@@ -8,7 +8,7 @@
  * does. A slow process that suspects everybody then harms nobody, as it stays alone.
  */
 final class Suspicion {
-    private final long startedUs;
+    private long startedUs;
     private final long leastUs;
     private final long mostUs;
     private final int wanted;
@@ -27,6 +27,11 @@
         return by.size() <= wanted && by.add(who);
     }
 
+    /** Time that this process stood still is none that the other had. */
+    void putOff(long us) {
+        startedUs += us;
+    }
+
     /** When it is over. */
     long endsUs() {
         if (wanted == 0) {
--- a/node/src/main/java/kitemux/core/membership/View.java
+++ b/node/src/main/java/kitemux/core/membership/View.java
@@ -3,8 +3,10 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Stream;
 
 /**
@@ -12,6 +14,7 @@
  */
 final class View {
     private final Map<String, Entry> byName = new LinkedHashMap<>();
+    private final Set<Entry> suspected = new LinkedHashSet<>();
     private int live;
     /** The sum over those that are held for live. */
     private long digest;
@@ -39,10 +42,6 @@
             return suspicion;
         }
 
-        void suspect(Suspicion by) {
-            suspicion = by;
-        }
-
         /** When it was heard that it had ended. */
         long endedAtUs() {
             return endedAtUs;
@@ -80,11 +79,18 @@
         return added;
     }
 
+    /** It has time to contradict. */
+    void suspect(Entry entry, Suspicion by) {
+        entry.suspicion = by;
+        suspected.add(entry);
+    }
+
     /** It is held for this from now on; what was suspected of it is settled. */
     void set(Entry entry, Member member, long nowUs) {
         count(entry.member, -1);
         entry.member = member;
         entry.suspicion = null;
+        suspected.remove(entry);
         entry.endedAtUs = nowUs;
         count(member, 1);
     }
@@ -92,6 +98,7 @@
     void drop(Entry entry) {
         count(entry.member, -1);
         byName.remove(entry.member.name());
+        suspected.remove(entry);
     }
 
     int size() {
@@ -106,6 +113,11 @@
         return digest;
     }
 
+    /** Those that have to contradict, in the order in which they came to. */
+    List<Entry> suspected() {
+        return List.copyOf(suspected);
+    }
+
     Collection<Entry> all() {
         return byName.values();
     }
@@ -127,7 +139,10 @@
 
     /** When the next suspicion is over. */
     long nextSuspicionUs() {
-        return byName.values().stream().filter(entry -> entry.suspicion != null)
-                .mapToLong(entry -> entry.suspicion.endsUs()).min().orElse(Long.MAX_VALUE);
+        long next = Long.MAX_VALUE;
+        for (Entry entry : suspected) {
+            next = Math.min(next, entry.suspicion.endsUs());
+        }
+        return next;
     }
 }
--- /dev/null
+++ b/node/src/main/java/kitemux/members/Codec.java
@@ -0,0 +1,290 @@
+package kitemux.members;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.zip.CRC32C;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import com.fasterxml.jackson.dataformat.cbor.CBORGenerator;
+
+import kitemux.core.membership.Incarnation;
+import kitemux.core.membership.Member;
+import kitemux.core.membership.Message;
+import kitemux.core.membership.Rumor;
+import kitemux.core.membership.State;
+import kitemux.members.BadFrameException.Reason;
+
+/**
+ * Messages as bytes: "KM", the version of the format, the kind, CRC32C over version, kind and what follows,
+ * then a CBOR array that begins with the fleet's name. {@code docs/membership.md} has the table.
+ */
+public final class Codec {
+    /** What goes through a network in one piece almost anywhere. */
+    static final int MOST_DATAGRAM = 1_400;
+    /** 10,000 members with the longest texts. */
+    static final int MOST_FRAME = 8 << 20;
+    static final byte VERSION = 1;
+    private static final byte[] MAGIC = {'K', 'M'};
+    private static final int HEADER = 8;
+    /** A time or count beyond it would run over when it is raised. */
+    private static final long MOST_NUMBER = 1L << 62;
+    private static final State[] STATES = State.values();
+    private static final CBORFactory CBOR = new CBORFactory();
+
+    /** What a frame is. */
+    enum Kind { PING, ACK, PING_REQUEST, GOSSIP, NACK, STATE, LOOK, VIEW }
+
+    private static final Kind[] KINDS = Kind.values();
+
+    private final String fleet;
+
+    /** @param fleet the one whose messages are understood */
+    public Codec(String fleet) {
+        this.fleet = fleet;
+    }
+
+    /** One that only asks, and takes what any fleet answers. */
+    static Codec ofAnyFleet() {
+        return new Codec("");
+    }
+
+    // ---------------------------------------------------------------- writing
+
+    private interface Content {
+        void writeTo(CBORGenerator to) throws IOException;
+    }
+
+    private byte[] frame(Kind kind, Content content) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(256);
+        bytes.writeBytes(new byte[HEADER]);
+        try (CBORGenerator to = CBOR.createGenerator(bytes)) {
+            to.writeStartArray();
+            to.writeString(fleet);
+            content.writeTo(to);
+            to.writeEndArray();
+        } catch (IOException e) {
+            throw new UncheckedIOException("writing to memory", e);
+        }
+        byte[] frame = bytes.toByteArray();
+        ByteBuffer.wrap(frame).put(MAGIC).put(VERSION).put((byte) kind.ordinal()).putInt(checksum(frame));
+        return frame;
+    }
+
+    private static int checksum(byte[] frame) {
+        CRC32C sum = new CRC32C();
+        sum.update(frame, MAGIC.length, 2);
+        sum.update(frame, HEADER, frame.length - HEADER);
+        return (int) sum.getValue();
+    }
+
+    /** As one datagram. */
+    public byte[] encode(Message message) {
+        if (message instanceof Message.Ping ping) {
+            return frame(Kind.PING, to -> {
+                to.writeNumber(ping.number());
+                to.writeString(ping.to());
+                write(to, ping.from(), ping.rumors());
+            });
+        } else if (message instanceof Message.PingRequest request) {
+            return frame(Kind.PING_REQUEST, to -> {
+                to.writeNumber(request.number());
+                to.writeString(request.to());
+                to.writeString(request.address());
+                write(to, request.from(), request.rumors());
+            });
+        } else if (message instanceof Message.Ack ack) {
+            return frame(Kind.ACK, to -> {
+                to.writeNumber(ack.number());
+                write(to, ack.from(), ack.rumors());
+            });
+        } else if (message instanceof Message.Nack nack) {
+            return frame(Kind.NACK, to -> {
+                to.writeNumber(nack.number());
+                write(to, nack.from(), nack.rumors());
+            });
+        }
+        Message.Gossip gossip = (Message.Gossip) message;
+        return frame(Kind.GOSSIP, to -> write(to, gossip.from(), gossip.rumors()));
+    }
+
+    /** All that a member knows, for an exchange. */
+    byte[] encodeState(List<Rumor> all) {
+        return frame(Kind.STATE, to -> write(to, all));
+    }
+
+    byte[] encodeLook() {
+        return frame(Kind.LOOK, to -> { });
+    }
+
+    byte[] encodeView(Look.View view) {
+        return frame(Kind.VIEW, to -> {
+            to.writeNumber(view.version());
+            to.writeNumber(view.digest());
+            to.writeNumber(view.health());
+            to.writeStartArray();
+            for (Map.Entry<String, Long> figure : view.figures().entrySet()) {
+                to.writeString(figure.getKey());
+                to.writeNumber(figure.getValue());
+            }
+            to.writeEndArray();
+            write(to, view.self(), view.others().stream().map(m -> new Rumor(m, m.name())).toList());
+        });
+    }
+
+    private static void write(CBORGenerator to, Member from, List<Rumor> rumors) throws IOException {
+        write(to, from);
+        write(to, rumors);
+    }
+
+    private static void write(CBORGenerator to, List<Rumor> rumors) throws IOException {
+        to.writeStartArray();
+        for (Rumor rumor : rumors) {
+            write(to, rumor.member());
+            to.writeString(rumor.by());
+        }
+        to.writeEndArray();
+    }
+
+    private static void write(CBORGenerator to, Member member) throws IOException {
+        to.writeString(member.name());
+        to.writeString(member.address());
+        to.writeString(member.zone());
+        to.writeString(member.role());
+        to.writeNumber(member.incarnation().birth());
+        to.writeNumber(member.incarnation().count());
+        to.writeNumber(member.state().ordinal());
+    }
+
+    // ---------------------------------------------------------------- reading
+
+    private interface Reading<T> {
+        T readFrom(JsonParser from) throws IOException, BadFrameException;
+    }
+
+    /** What kind of frame this is, once it is known to be whole and of a version that is understood. */
+    static Kind kind(byte[] frame) throws BadFrameException {
+        if (frame.length < HEADER || frame[0] != MAGIC[0] || frame[1] != MAGIC[1]) {
+            throw new BadFrameException(Reason.NOT_OURS);
+        }
+        // Before the version: a damaged one must not pass for newer.
+        if (ByteBuffer.wrap(frame).getInt(HEADER - Integer.BYTES) != checksum(frame)) {
+            throw new BadFrameException(Reason.DAMAGED);
+        }
+        if (frame[2] != VERSION || frame[3] < 0 || frame[3] >= KINDS.length) {
+            throw new BadFrameException(Reason.NEWER);
+        }
+        return KINDS[frame[3]];
+    }
+
+    private <T> T read(byte[] frame, boolean anyFleet, Reading<T> content) throws BadFrameException {
+        try (JsonParser from = CBOR.createParser(frame, HEADER, frame.length - HEADER)) {
+            require(from.nextToken() == JsonToken.START_ARRAY);
+            String told = text(from);
+            if (!anyFleet && !told.equals(fleet)) {
+                throw new BadFrameException(Reason.FOREIGN_FLEET);
+            }
+            T read = content.readFrom(from);
+            require(from.nextToken() == JsonToken.END_ARRAY && from.nextToken() == null);
+            return read;
+        } catch (IOException e) {
+            throw new BadFrameException(Reason.MALFORMED);
+        }
+    }
+
+    private static void require(boolean holds) throws BadFrameException {
+        if (!holds) {
+            throw new BadFrameException(Reason.MALFORMED);
+        }
+    }
+
+    /** A message that came as one datagram. */
+    Message decode(byte[] frame) throws BadFrameException {
+        Kind kind = kind(frame);
+        return read(frame, false, from -> switch (kind) {
+            case PING -> new Message.Ping(number(from), name(from), member(from), rumors(from));
+            case PING_REQUEST -> new Message.PingRequest(number(from), name(from), name(from), member(from),
+                    rumors(from));
+            case ACK -> new Message.Ack(number(from), member(from), rumors(from));
+            case NACK -> new Message.Nack(number(from), member(from), rumors(from));
+            case GOSSIP -> new Message.Gossip(member(from), rumors(from));
+            default -> throw new BadFrameException(Reason.MALFORMED);
+        });
+    }
+
+    List<Rumor> decodeState(byte[] frame) throws BadFrameException {
+        require(kind(frame) == Kind.STATE);
+        return read(frame, false, Codec::rumors);
+    }
+
+    Look.View decodeView(byte[] frame) throws BadFrameException {
+        require(kind(frame) == Kind.VIEW);
+        return read(frame, true, from -> {
+            long version = number(from);
+            require(from.nextToken() == JsonToken.VALUE_NUMBER_INT);
+            long digest = from.getLongValue();
+            int health = (int) Math.min(Integer.MAX_VALUE, number(from));
+            require(from.nextToken() == JsonToken.START_ARRAY);
+            Map<String, Long> figures = new LinkedHashMap<>();
+            while (from.nextToken() == JsonToken.VALUE_STRING) {
+                figures.put(from.getText(), number(from));
+            }
+            require(from.currentToken() == JsonToken.END_ARRAY);
+            return new Look.View(version, digest, health, member(from),
+                    rumors(from).stream().map(Rumor::member).toList(), figures);
+        });
+    }
+
+    private static List<Rumor> rumors(JsonParser from) throws IOException, BadFrameException {
+        require(from.nextToken() == JsonToken.START_ARRAY);
+        List<Rumor> rumors = new ArrayList<>();
+        while (from.nextToken() == JsonToken.VALUE_STRING) {
+            Member member = member(from, checked(from.getText()));
+            rumors.add(new Rumor(member, name(from)));
+        }
+        require(from.currentToken() == JsonToken.END_ARRAY);
+        return rumors;
+    }
+
+    private static Member member(JsonParser from) throws IOException, BadFrameException {
+        return member(from, name(from));
+    }
+
+    private static Member member(JsonParser from, String name) throws IOException, BadFrameException {
+        String address = name(from);
+        String zone = name(from);
+        String role = name(from);
+        Incarnation incarnation = new Incarnation(number(from), number(from));
+        long state = number(from);
+        require(state < STATES.length);
+        return new Member(name, address, zone, role, incarnation, STATES[(int) state]);
+    }
+
+    private static long number(JsonParser from) throws IOException, BadFrameException {
+        require(from.nextToken() == JsonToken.VALUE_NUMBER_INT);
+        long number = from.getLongValue();
+        require(number >= 0 && number <= MOST_NUMBER);
+        return number;
+    }
+
+    private static String text(JsonParser from) throws IOException, BadFrameException {
+        require(from.nextToken() == JsonToken.VALUE_STRING);
+        return from.getText();
+    }
+
+    private static String name(JsonParser from) throws IOException, BadFrameException {
+        return checked(text(from));
+    }
+
+    private static String checked(String name) throws BadFrameException {
+        require(Member.isName(name));
+        return name;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/kitemux/members/Members.java
@@ -0,0 +1,299 @@
+package kitemux.members;
+
+import java.net.BindException;
+import java.net.InetSocketAddress;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.List;
+import java.util.Locale;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.Future;
+
+import kitemux.core.membership.Change;
+import kitemux.core.membership.Member;
+import kitemux.core.membership.Membership;
+import kitemux.core.membership.Message;
+import kitemux.core.membership.Rumor;
+import kitemux.core.membership.State;
+import kitemux.members.BadFrameException.Reason;
+import kitemux.net.Addresses;
+
+/**
+ * This process's part in its fleet: the membership core on sockets, on a loop of its own, so that a node that
+ * works hard is not held for dead, nor this for its work.
+ */
+public final class Members {
+    private static final long LEAVING_MS = 1_000;
+
+    private final MembersConfig config;
+    private final Consumer<String> log;
+    private final EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1,
+            new DefaultThreadFactory("members", true), NioIoHandler.newFactory()).next();
+    private final Codec codec;
+    private final Figures figures = new Figures();
+    private Exchanges exchanges;
+    private Channel datagrams;
+    private Membership core;
+    private Future<?> wake;
+    private boolean toldBusy;
+    /** What {@link #figures} says; written by the loop. */
+    private volatile String text = "";
+
+    private Members(MembersConfig config, Consumer<String> log) {
+        this.config = config;
+        this.log = log;
+        codec = new Codec(config.fleet());
+    }
+
+    /**
+     * Takes part from now on. Where the address is taken, as by the process that this one follows, it waits
+     * until that gives it up.
+     *
+     * @param log told of what changes, a line each
+     */
+    public static Members join(MembersConfig config, Consumer<String> log) {
+        Members members = new Members(config, log);
+        members.loop.execute(members::open);
+        return members;
+    }
+
+    /**
+     * The same for a process that has figures of its own.
+     *
+     * @param figures given what tells this part's
+     * @return what leaves
+     */
+    public static Runnable join(MembersConfig config, Consumer<String> log,
+            Consumer<Supplier<String>> figures) {
+        Members members = join(config, log);
+        figures.accept(members::figures);
+        return members::leave;
+    }
+
+    private static long nowUs() {
+        return System.nanoTime() / 1_000;
+    }
+
+    private void say(String line) {
+        log.accept("members: " + line);
+    }
+
+    // ---------------------------------------------------------------- its life
+
+    private void open() {
+        // One byte more than any message has, so that what is too long is damaged.
+        ChannelFuture binding = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
+                .option(ChannelOption.RECVBUF_ALLOCATOR,
+                        new FixedRecvByteBufAllocator(Codec.MOST_DATAGRAM + 1))
+                .handler(new Datagrams()).bind(config.bind());
+        datagrams = binding.channel();
+        exchanges = new Exchanges(loop, codec, config.bind(), new Peers());
+        binding.addListener(bound -> {
+            if (!bound.isSuccess()) {
+                openLater(bound.cause());
+                return;
+            }
+            exchanges.listen().addListener(listening -> {
+                if (listening.isSuccess()) {
+                    begin();
+                } else {
+                    openLater(listening.cause());
+                }
+            });
+        });
+    }
+
+    private void openLater(Throwable cause) {
+        datagrams.close();
+        exchanges.close();
+        if (!toldBusy) {
+            toldBusy = true;
+            say(Addresses.text(config.bind()) + " cannot be had yet: " + cause.getMessage()
+                    + (cause instanceof BindException ? "" : " (" + cause.getClass().getName() + ")"));
+        }
+        loop.schedule(this::open, config.settings().periodUs(), TimeUnit.MICROSECONDS);
+    }
+
+    private void begin() {
+        core = new Membership(config.settings(), new SplittableRandom().nextLong(),
+                ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now()), new Actions());
+        core.start(nowUs());
+        say("taking part in " + config.fleet() + " as " + core.self().name() + " at "
+                + core.self().address());
+    }
+
+    /** Says that this process goes, and takes part no more; waits for a second at most. */
+    public void leave() {
+        loop.submit(() -> {
+            if (core != null) {
+                core.leave(nowUs());
+            }
+            close();
+        }).awaitUninterruptibly(LEAVING_MS);
+    }
+
+    private void close() {
+        if (wake != null) {
+            wake.cancel(false);
+        }
+        datagrams.close();
+        exchanges.close();
+        loop.parent().shutdownGracefully(0, LEAVING_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** What it counts, a line each, as of some time within the last period; may be called from any thread. */
+    public String figures() {
+        return text;
+    }
+
+    /** Gives the core an event, and looks whether that was its last. */
+    private void tell(Consumer<Membership> event) {
+        if (core == null || core.isOver()) {
+            return;
+        }
+        event.accept(core);
+        if (core.isOver()) {
+            close();
+        }
+    }
+
+    private void onWake() {
+        tell(told -> told.onWake(nowUs()));
+        StringBuilder lines = new StringBuilder();
+        lines.append("members_live ").append(core.live()).append('\n');
+        lines.append("members_view_version ").append(core.version()).append('\n');
+        lines.append("members_health ").append(core.health()).append('\n');
+        figures.all().forEach((name, value) ->
+                lines.append("members_").append(name).append(' ').append(value).append('\n'));
+        text = lines.toString();
+    }
+
+    // ---------------------------------------------------------------- what the core wants done
+
+    private final class Actions implements Membership.Actions {
+        @Override
+        public void send(String address, Message message) {
+            InetSocketAddress to = Addresses.parse(address);
+            if (to == null || to.getPort() == 0) {
+                // Another's word, for which nobody listens.
+                return;
+            }
+            byte[] bytes = codec.encode(message);
+            figures.sent(bytes.length);
+            // A datagram that cannot be sent is one that got lost: the protocol bears it.
+            datagrams.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to));
+        }
+
+        @Override
+        public void exchange(String address) {
+            InetSocketAddress to = Addresses.parse(address);
+            if (to != null && to.getPort() != 0) {
+                exchanges.begin(to);
+            }
+        }
+
+        @Override
+        public void changed(Change change) {
+            figures.changed(change.kind());
+            Member member = change.member();
+            say(change.kind().name().toLowerCase(Locale.ROOT) + " " + member.name() + " at "
+                    + member.address() + ", zone " + member.zone() + ", role " + member.role()
+                    + ", incarnation " + member.incarnation().birth() + "." + member.incarnation().count());
+        }
+
+        @Override
+        public void roundTrip(long us) {
+            figures.roundTrip(us);
+        }
+
+        @Override
+        public void wakeAt(long atUs) {
+            if (wake != null) {
+                wake.cancel(false);
+            }
+            wake = loop.schedule(Members.this::onWake, Math.max(0, atUs - nowUs()), TimeUnit.MICROSECONDS);
+        }
+    }
+
+    // ---------------------------------------------------------------- what others say
+
+    private void bad(Reason reason) {
+        if (figures.bad(reason) == 1) {
+            say("dropped something that is " + reason.name().toLowerCase(Locale.ROOT)
+                    + "; what follows of that is only counted");
+        }
+    }
+
+    private final class Datagrams extends SimpleChannelInboundHandler<DatagramPacket> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            byte[] bytes = ByteBufUtil.getBytes(packet.content());
+            figures.received(bytes.length);
+            try {
+                Message message = codec.decode(bytes);
+                tell(told -> told.onMessage(nowUs(), message));
+            } catch (BadFrameException e) {
+                bad(e.reason());
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            say("datagrams: " + cause);
+        }
+    }
+
+    private final class Peers implements Exchanges.Owner {
+        @Override
+        public byte[] state() {
+            return codec.encodeState(core == null ? List.of() : core.state());
+        }
+
+        @Override
+        public byte[] view() {
+            List<Rumor> all = core.state();
+            return codec.encodeView(new Look.View(core.version(), core.digest(), core.health(),
+                    core.isOver() ? core.self().in(State.LEFT) : core.self(),
+                    all.stream().skip(1).map(Rumor::member).toList(), figures.all()));
+        }
+
+        @Override
+        public void heard(List<Rumor> all) {
+            tell(told -> told.onState(nowUs(), all));
+        }
+
+        @Override
+        public void bad(Reason reason) {
+            Members.this.bad(reason);
+        }
+
+        @Override
+        public void failed(Throwable cause) {
+            say("exchange: " + cause);
+        }
+
+        @Override
+        public void ended(boolean whole) {
+            figures.exchanged(whole);
+        }
+    }
+}
--- a/node/src/main/java/kitemux/node/NodeConfig.java
+++ b/node/src/main/java/kitemux/node/NodeConfig.java
@@ -20,6 +20,7 @@
 import kitemux.Balancer.RequestClass;
 import kitemux.Balancer.Settings;
 import kitemux.adapter.BootInfo;
+import kitemux.members.MembersConfig;
 
 /**
  * What a node is told at its start, by the environment and the configuration file.
@@ -33,9 +34,11 @@
  * @param settings the module's
  * @param keys all names that the file holds, but for what is in the list
  * @param operators what is only there for operators
+ * @param fleet the fleet of processes that it takes part in; null for none
  */
 record NodeConfig(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        long connIdleUs, HostList known, Settings settings, Set<String> keys, Operators operators) {
+        long connIdleUs, HostList known, Settings settings, Set<String> keys, Operators operators,
+        MembersConfig fleet) {
 
     /** A file that cannot be taken is looked at again for so long, this often: figures may be 0.5 s late. */
     private static final long SETTLES_MS = 200;
@@ -93,7 +96,7 @@
         String discovery = env.getOrDefault("PROXY_DISCOVERY", json.path("discovery").asText());
         return new NodeConfig(Addresses.parse("listen", listen), Addresses.parse("discovery", discovery),
                 seed(json.path("seed").asText()), sockets.asInt(), idle, known(json, settings.zones),
-                settings, ownKeys(json), operators);
+                settings, ownKeys(json), operators, fleet(json));
     }
 
     /**
@@ -220,7 +223,7 @@
         apart.maxAttempts = settings.maxAttempts;
         apart.cancel = settings.cancel;
         return new NodeConfig(new InetSocketAddress(listen.getAddress(), 0), null, seed, sockets,
-                connIdleUs, servers, apart, Set.of(), Operators.NONE);
+                connIdleUs, servers, apart, Set.of(), Operators.NONE, null);
     }
 
     private static HostList known(JsonNode json, List<String> zones) throws ConfigException {
@@ -230,6 +233,17 @@
         return HostList.decode(json.get("known"), zones, "known.");
     }
 
+    private static MembersConfig fleet(JsonNode json) throws ConfigException {
+        if (!json.hasNonNull("fleet")) {
+            return null;
+        }
+        try {
+            return MembersConfig.read(json.get("fleet"), json.path("name").asText());
+        } catch (IllegalArgumentException e) {
+            throw new ConfigException("configuration:", e.getMessage());
+        }
+    }
+
     private static long seed(String text) throws ConfigException {
         try {
             return Long.parseUnsignedLong(text, 16);
--- a/node/src/main/java/kitemux/node/ProcessLife.java
+++ b/node/src/main/java/kitemux/node/ProcessLife.java
@@ -7,6 +7,8 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 
+import kitemux.members.Members;
+
 /** The life of the process in which a node runs: its start, its signals and its end. */
 public final class ProcessLife {
     private ProcessLife() { }
@@ -26,6 +28,9 @@
         EventLoop loop = Node.newLoop();
         Node node = new Node(config, loop);
         HangUp.handle(() -> node.reload(env));
+        // By an interface of the JDK's, so that a node of no fleet need not load what one is made of.
+        Runnable leave = config.fleet() == null ? null
+                : Members.join(config.fleet(), Log::line, node::alsoReport);
         ChannelFuture control = node.startControl();
         if (control != null) {
             awaitListening("control " + config.operators().control(), control);
@@ -40,6 +45,10 @@
         ChannelFuture listening = node.start(inherited);
         awaitListening("listen " + config.listen(), listening);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            if (leave != null) {
+                // First: the process that follows this one waits for the address.
+                leave.run();
+            }
             CountDownLatch empty = new CountDownLatch(1);
             node.drain(empty::countDown);
             try {
--- a/node/src/test/java/kitemux/node/ClassListTest.java
+++ b/node/src/test/java/kitemux/node/ClassListTest.java
@@ -27,7 +27,11 @@
         List<String> missing = built.stream().filter(name -> !listed.contains(name)).toList();
         assertEquals(List.of(), missing, "make the list anew, as the README says");
         // What a node loads only where a setting asks for it.
-        assertEquals(List.of(), listed.stream().filter(name -> name.startsWith("kitemux/core/")).toList());
+        assertEquals(List.of(), listed.stream().filter(ClassListTest::isOffByDefault).toList());
+    }
+
+    private static boolean isOffByDefault(String name) {
+        return name.startsWith("kitemux/core/") || name.startsWith("kitemux/members/");
     }
 
     /** The adapter's are left out, as no node loads them, and cores that are off by default. */
@@ -35,7 +39,7 @@
         try (Stream<Path> files = Files.walk(classes.resolve("kitemux"))) {
             return files.map(file -> classes.relativize(file).toString().replace('\\', '/'))
                     .filter(name -> name.endsWith(".class") && !name.startsWith("kitemux/adapter/")
-                            && !name.startsWith("kitemux/core/"))
+                            && !isOffByDefault(name))
                     .map(name -> name.substring(0, name.length() - ".class".length()))
                     .sorted().collect(Collectors.toList());
         }
--- a/node/src/test/java/kitemux/node/Site.java
+++ b/node/src/test/java/kitemux/node/Site.java
@@ -97,7 +97,7 @@
         return new NodeConfig(anyPort(),
                 Addresses.parse("discovery", discovery.endpoint()), 7, sockets, connIdleUs,
                 HostList.decode(new ObjectMapper().readTree(known), settings.zones, ""),
-                settings, keys, new NodeConfig.Operators(operated ? anyPort() : null, folder, false));
+                settings, keys, new NodeConfig.Operators(operated ? anyPort() : null, folder, false), null);
     }
 
     /** Starts the node with the servers s0, s1, ... */
--- a/rig/src/main/java/kitemux/rig/members/DatagramNet.java
+++ b/rig/src/main/java/kitemux/rig/members/DatagramNet.java
@@ -3,6 +3,8 @@
 import java.util.SplittableRandom;
 import java.util.function.BiPredicate;
 
+import kitemux.core.membership.Message;
+import kitemux.members.Codec;
 import kitemux.rig.time.Timeline;
 
 /**
@@ -16,6 +18,9 @@
     private long jitterUs = 500;
     private double loss;
     private double duplicated;
+    private final Codec codec = new Codec("simulated");
+    private long sent;
+    private long sentBytes;
     private BiPredicate<String, String> cut = (from, to) -> false;
 
     DatagramNet(Timeline time) {
@@ -52,6 +57,20 @@
         return delayUs + (jitterUs == 0 ? 0 : random.nextLong(jitterUs));
     }
 
+    /** A datagram goes out, wherever it ends. */
+    void count(Message message) {
+        sent++;
+        sentBytes += codec.encode(message).length;
+    }
+
+    long sent() {
+        return sent;
+    }
+
+    long sentBytes() {
+        return sentBytes;
+    }
+
     void send(String from, String to, Runnable deliver) {
         int copies = random.nextDouble() < loss ? 0 : random.nextDouble() < duplicated ? 2 : 1;
         for (int i = 0; i < copies; i++) {
--- a/rig/src/main/java/kitemux/rig/members/SimMember.java
+++ b/rig/src/main/java/kitemux/rig/members/SimMember.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -33,6 +34,7 @@
     private Timer wake;
     private int life;
     private long clockOffUs;
+    private final Map<String, Long> heard = new HashMap<>();
     private final Map<Change.Kind, Integer> changes = new EnumMap<>(Change.Kind.class);
 
     SimMember(MembersWorld world, Settings settings) {
@@ -59,6 +61,15 @@
         return up;
     }
 
+    Settings settings() {
+        return settings;
+    }
+
+    /** When it first held this one, which has ended, for suspect or dead; -1 if it does not. */
+    long heardUs(SimMember ended) {
+        return heard.getOrDefault(ended.name, -1L);
+    }
+
     /** How often something of this kind was told to its listener. */
     public int count(Change.Kind kind) {
         return changes.getOrDefault(kind, 0);
@@ -147,6 +158,7 @@
 
         @Override
         public void send(String to, Message message) {
+            world.net().count(message);
             world.net().send(name, world.nameAt(to), () -> {
                 SimMember target = world.at(to);
                 if (target != null) {
@@ -177,9 +189,19 @@
         @Override
         public void changed(Change change) {
             changes.merge(change.kind(), 1, Integer::sum);
+            switch (change.kind()) {
+                case SUSPECTED, DIED -> heard.putIfAbsent(change.member().name(), world.time().nowUs());
+                case CLEARED, JOINED -> heard.remove(change.member().name());
+                default -> { }
+            }
             world.changed(SimMember.this, change);
         }
 
+        @Override
+        public void roundTrip(long us) {
+            // Its distribution is the network's, which is a model here.
+        }
+
         @Override
         public void wakeAt(long atUs) {
             if (wake != null) {
--- a/rig/src/test/java/kitemux/rig/members/MembershipTest.java
+++ b/rig/src/test/java/kitemux/rig/members/MembershipTest.java
@@ -99,6 +99,17 @@
             pass(world, 60);
             world.member(4).pause(false);
         }));
+        trials.put("one stands still while it suspects half of all, and gives none of them up",
+                new Trial(12, 15, false, world -> {
+            // Its own word comes through, so that nobody gives it up either.
+            world.net().cut((a, b) -> b.equals("m4") && half(a));
+            pass(world, 4);
+            world.net().heal();
+            world.member(4).pause(true);
+            pass(world, 3);
+            world.member(4).pause(false);
+            world.fault("healed");
+        }));
         trials.put("three in ten datagrams lost, some come twice and in any order",
                 new Trial(20, 20, false, world -> {
             world.net().harm(0.3, 0.1);
