Play membership with processes whose links are hurt, and show it by fleet members

Need: the guarantees of membership have to hold among processes of the program, and operators have to see how a process sees its fleet. Result: six processes find each other, hear of a kill, of a leaving and of a return; one that hears nobody is given up and comes back; one that stood still comes back and gives nobody up; of two with one name the later stays and the earlier goes on to serve; all killed and three started with no seed up stay alone until one comes; a node that is told of no fleet loads no class of it (the check sees them where it is).

--- a/cli/src/main/java/kitemux/cli/Fleet.java
+++ b/cli/src/main/java/kitemux/cli/Fleet.java
@@ -38,7 +38,8 @@
 import picocli.CommandLine.Spec;
 
 /** Whole fleets: several nodes, what surrounds them, and what goes wrong between them. */
-@Command(name = "fleet", mixinStandardHelpOptions = true, subcommands = FleetDemo.class,
+@Command(name = "fleet", mixinStandardHelpOptions = true, subcommands = {FleetDemo.class,
+        FleetMembers.class, FleetStudy.class},
         description = "Plays fleets of nodes, with what goes wrong between them, before a referee.")
 final class Fleet {
     private static final String JAR = "jar:";
--- a/cli/src/test/java/kitemux/cli/FleetTest.java
+++ b/cli/src/test/java/kitemux/cli/FleetTest.java
@@ -2,12 +2,19 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.PrintWriter;
 import java.io.StringWriter;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -15,6 +22,9 @@
 import org.junit.jupiter.api.io.TempDir;
 import picocli.CommandLine;
 
+import kitemux.members.Members;
+import kitemux.members.MembersConfig;
+
 /** The command line as people use it: what it prints and how it ends. */
 class FleetTest {
     @TempDir
@@ -105,4 +115,61 @@
         assertEquals(2, run("fleet", "import", day.toString()));
         assertTrue(err.toString().contains("is no day"), err.toString());
     }
+
+    private static String freeAddress() throws Exception {
+        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return "127.0.0.1:" + any.getLocalPort();
+        }
+    }
+
+    private static Members member(String name, String at, String seed, Consumer<String> log)
+            throws Exception {
+        return Members.join(MembersConfig.read(new ObjectMapper().createObjectNode().put("name", "told")
+                .put("bind", at).put("periodMs", 200).set("seeds", new ObjectMapper().createArrayNode()
+                        .add(seed)), name), log);
+    }
+
+    @Test
+    void membersAreShownAsAProcessSeesThem() throws Exception {
+        String first = freeAddress();
+        String second = freeAddress();
+        BlockingQueue<String> log = new LinkedBlockingQueue<>();
+        Members one = member("one", first, second, log::add);
+        Members two = member("two", second, first, log::add);
+        try {
+            for (int joined = 0; joined < 2;) {
+                String line = log.poll(30, TimeUnit.SECONDS);
+                assertNotNull(line, "nobody joined");
+                joined += line.contains("joined") ? 1 : 0;
+            }
+            assertEquals(0, run("fleet", "members", first));
+            assertTrue(out.toString().startsWith("one at " + first + ": 2 live"), out.toString());
+            assertTrue(out.toString().contains("two") && out.toString().contains("alive"), out.toString());
+            out.getBuffer().setLength(0);
+            assertEquals(0, run("fleet", "members", "--diff", first, second));
+            assertEquals("all alike", out.toString().strip());
+            two.leave();
+            while (!log.poll(30, TimeUnit.SECONDS).contains("left two")) {
+                // The one that stays is told.
+            }
+            out.getBuffer().setLength(0);
+            assertEquals(0, run("fleet", "members", "--json", first));
+            JsonNode view = new ObjectMapper().readTree(out.toString());
+            assertEquals("left", view.path("members").path(1).path("state").asText());
+            assertEquals(3, run("fleet", "members", "--timeout-ms", "500", second));
+            assertTrue(err.toString().contains(second + " does not answer"), err.toString());
+            assertEquals(2, run("fleet", "members", "nowhere"));
+        } finally {
+            one.leave();
+        }
+    }
+
+    @Test
+    void aStudyTellsHowQuicklyACrashIsKnown() {
+        assertEquals(0, run("fleet", "study", "--sizes", "5", "--seeds", "3", "--false-seconds", "60"));
+        assertTrue(out.toString().contains("5 members: a member sends"), out.toString());
+        assertTrue(out.toString().contains("as it is: false deaths 0"), out.toString());
+        assertFalse(out.toString().contains("never"), out.toString());
+        assertEquals(2, run("fleet", "study", "--sizes", "2"));
+    }
 }
--- a/rig/src/main/java/kitemux/rig/real/FaultLink.java
+++ b/rig/src/main/java/kitemux/rig/real/FaultLink.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
 
 import io.netty.bootstrap.Bootstrap;
@@ -78,6 +79,7 @@
     private final InetAddress at;
     private final int port;
     private Channel listening;
+    private Predicate<InetAddress> cut = from -> false;
     private UnaryOperator<ByteBuf> tampered = UnaryOperator.identity();
     private Way tamperedWay = Way.FROM_TARGET;
 
@@ -111,8 +113,8 @@
     }
 
     /**
-     * Whether it takes connections, as the party behind it does. It keeps its port, and connections that stand
-     * go on.
+     * Whether it takes connections, as the party behind it does. It keeps its port, and connections that
+     * stand go on.
      */
     public void setOpen(boolean to) {
         loop.execute(() -> {
@@ -151,20 +153,29 @@
         }
     }
 
+    /** Connections that come from these say nothing, from now on: those that stand and new ones. */
+    public void cut(Predicate<InetAddress> from) {
+        loop.execute(() -> {
+            cut = from;
+            passages.forEach(Passage::pass);
+        });
+    }
+
     /** Breaks all connections. */
     public void reset() {
         loop.execute(() -> Set.copyOf(passages).forEach(Passage::reset));
     }
 
     private void connect(SocketChannel from) {
-        Passage there = new Passage(Way.TO_TARGET, from);
+        InetAddress source = from.remoteAddress().getAddress();
+        Passage there = new Passage(Way.TO_TARGET, from, source);
         from.pipeline().addLast(there);
         new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.AUTO_READ, false)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel to) {
-                        Passage back = new Passage(Way.FROM_TARGET, to);
+                        Passage back = new Passage(Way.FROM_TARGET, to, source);
                         to.pipeline().addLast(back);
                         there.to = to;
                         back.to = from;
@@ -185,6 +196,8 @@
     private final class Passage extends ChannelInboundHandlerAdapter {
         private final Way way;
         private final SocketChannel from;
+        /** Where the connection came from. */
+        private final InetAddress source;
         private SocketChannel to;
         /** What has come and is not through yet, each with when it may be. */
         private final ArrayDeque<Piece> held = new ArrayDeque<>();
@@ -196,13 +209,14 @@
 
         private record Piece(long dueNanos, ByteBuf bytes) { }
 
-        Passage(Way way, SocketChannel from) {
+        Passage(Way way, SocketChannel from, InetAddress source) {
             this.way = way;
             this.from = from;
+            this.source = source;
         }
 
         private Faults now() {
-            return faults.get(way);
+            return cut.test(source) ? Faults.SILENT : faults.get(way);
         }
 
         @Override
--- a/rig/src/main/java/kitemux/rig/real/Listener.java
+++ b/rig/src/main/java/kitemux/rig/real/Listener.java
@@ -1,7 +1,9 @@
 package kitemux.rig.real;
 
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.function.Supplier;
@@ -90,6 +92,13 @@
         return new InetSocketAddress(at, port);
     }
 
+    /** A port that nobody else takes meanwhile, where the address is somebody's own. */
+    static InetSocketAddress free(String address) throws IOException {
+        try (ServerSocket any = new ServerSocket(0, 1, new InetSocketAddress(address, 0).getAddress())) {
+            return (InetSocketAddress) any.getLocalSocketAddress();
+        }
+    }
+
     /** As addresses are written. */
     static String text(InetSocketAddress address) {
         return address.getAddress().getHostAddress() + ":" + address.getPort();
--- a/rig/src/main/java/kitemux/rig/real/NodeConfigFile.java
+++ b/rig/src/main/java/kitemux/rig/real/NodeConfigFile.java
@@ -26,15 +26,19 @@
      * Puts it in place whole.
      *
      * @param known the list as the node had it last
+     * @param fleet the fleet of processes that it takes part in, or null
      */
     static void write(Path file, String name, String listen, String discovery, String control, long seed,
-            ObjectNode known, Settings settings, long idleUs) throws IOException {
+            ObjectNode known, Settings settings, long idleUs, ObjectNode fleet) throws IOException {
         ObjectNode config = JSON.createObjectNode();
         config.put("name", name).put("listen", listen).put("discovery", discovery).put("control", control)
                 .put("seed", String.format("%016x", seed));
         config.putObject("limits").put("cores", 1.0).put("memory_mb", MEMORY_MB).put("sockets", SOCKETS);
         config.set("known", known);
         config.set("settings", settings(settings, idleUs));
+        if (fleet != null) {
+            config.set("fleet", fleet);
+        }
         Path whole = Files.write(file.resolveSibling(file.getFileName() + ".new"),
                 JSON.writeValueAsBytes(config));
         Files.move(whole, file, StandardCopyOption.REPLACE_EXISTING);
--- a/rig/src/main/java/kitemux/rig/real/RealNode.java
+++ b/rig/src/main/java/kitemux/rig/real/RealNode.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -71,15 +70,8 @@
         this.folder = Files.createDirectories(folder.resolve(name));
         this.outside = outside;
         random = time.stream("node " + name);
-        listen = free(address);
-        control = free(address);
-    }
-
-    /** A port that nobody else takes meanwhile, as the address is this node's own. */
-    private static InetSocketAddress free(String address) throws IOException {
-        try (ServerSocket any = new ServerSocket(0, 1, new InetSocketAddress(address, 0).getAddress())) {
-            return (InetSocketAddress) any.getLocalSocketAddress();
-        }
+        listen = Listener.free(address);
+        control = Listener.free(address);
     }
 
     private History history() {
@@ -126,9 +118,11 @@
                 Path temporary = Files.createDirectories(folder.resolve("tmp" + of));
                 Path config = folder.resolve("config.json");
                 NodeConfigFile.write(config, name, Listener.text(listen), discovery,
-                        Listener.text(control), seed, known, settings, world.scenario().net().idleUs());
+                        Listener.text(control), seed, known, settings, world.scenario().net().idleUs(),
+                        null);
                 Child started = new Child(name, deploy.run(), Map.of("PROXY_NAME", name, "PROXY_CONFIG",
-                        config.toString(), "PROXY_LISTEN", Listener.text(listen), "PROXY_DISCOVERY", discovery,
+                        config.toString(), "PROXY_LISTEN", Listener.text(listen), "PROXY_DISCOVERY",
+                        discovery,
                         "TMPDIR", temporary.toString()), deploy.root(), folder.resolve("log" + of),
                         code -> time.soon(() -> ended(of, code)));
                 time.soon(() -> begun(of, started));
--- a/rig/src/main/java/kitemux/rig/trouble/Resets.java
+++ b/rig/src/main/java/kitemux/rig/trouble/Resets.java
@@ -7,7 +7,9 @@
 import kitemux.rig.world.AppServer;
 import kitemux.rig.world.World;
 
-/** All connections to a part of the app servers break, amid requests, every {@code size} seconds (0: once). */
+/**
+ * All connections to a part of the app servers break, amid requests, every {@code size} seconds (0: once).
+ */
 final class Resets implements Trouble {
     @Override
     public Struck strike(World world, Scenario.Trouble told, SplittableRandom random) {
--- /dev/null
+++ b/rig/src/test/java/kitemux/rig/real/MemberFleetTest.java
@@ -0,0 +1,146 @@
+package kitemux.rig.real;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import kitemux.members.Look;
+import kitemux.rig.real.MemberFleet.Process;
+
+/** Membership among processes of the program, with what is between them hurt. */
+class MemberFleetTest {
+    private static final int PERIOD_MS = 200;
+    /** Starts of several processes on a busy machine, and many periods: far beyond what any of it takes. */
+    private static final long AWAITED_MS = 60_000;
+
+    @TempDir
+    private Path folder;
+
+    private MemberFleet fleet() throws Exception {
+        return new MemberFleet(DeployFile.find(Path.of("")), folder, 1, PERIOD_MS);
+    }
+
+    private static long count(Process process, String figure) {
+        Look.View view = process.view();
+        return view == null ? -1 : view.figures().get(figure);
+    }
+
+    @Test
+    void theyFindEachOtherAndHearOfEndsAndOfLeaving() throws Exception {
+        try (MemberFleet fleet = fleet().with(6)) {
+            fleet.await("all six to agree", AWAITED_MS, fleet::agree);
+            fleet.process(4).kill();
+            fleet.await("five to agree", AWAITED_MS, fleet::agree);
+            assertEquals(1, count(fleet.process(1), "changes_died"));
+            fleet.process(5).end();
+            fleet.await("it to end", AWAITED_MS, () -> !fleet.process(5).isUp());
+            fleet.await("four to agree", AWAITED_MS, fleet::agree);
+            assertEquals(1, count(fleet.process(1), "changes_left"));
+            assertEquals(1, count(fleet.process(1), "changes_died"));
+            fleet.process(4).start();
+            fleet.await("it to be back", AWAITED_MS, () -> fleet.process(4).isUp() && fleet.agree());
+        }
+    }
+
+    @Test
+    void oneThatHearsNobodyIsGivenUpAndComesBack() throws Exception {
+        try (MemberFleet fleet = fleet().with(5)) {
+            fleet.await("all five to agree", AWAITED_MS, fleet::agree);
+            fleet.cut((from, to) -> to.name().equals("m3"));
+            List<String> others = List.of("m0", "m1", "m2", "m4");
+            fleet.await("the others to give it up", AWAITED_MS,
+                    () -> fleet.process(1).live().equals(others) && fleet.process(4).live().equals(others));
+            fleet.await("it to hold itself for alone", AWAITED_MS,
+                    () -> fleet.process(3).live().equals(List.of("m3")));
+            fleet.heal();
+            fleet.await("all five to agree again", AWAITED_MS, fleet::agree);
+        }
+    }
+
+    @Test
+    void oneThatStoodStillComesBackAndGivesNobodyUp() throws Exception {
+        try (MemberFleet fleet = fleet().with(5)) {
+            fleet.await("all five to agree", AWAITED_MS, fleet::agree);
+            Process still = fleet.process(2);
+            still.pause(true);
+            List<String> others = List.of("m0", "m1", "m3", "m4");
+            fleet.await("the others to give it up", AWAITED_MS,
+                    () -> fleet.process(0).live().equals(others) && fleet.process(4).live().equals(others));
+            still.pause(false);
+            fleet.await("all five to agree again", AWAITED_MS, fleet::agree);
+            assertEquals(0, count(still, "changes_died"));
+        }
+    }
+
+    @Test
+    void aNodeThatIsToldOfNoFleetLoadsNothingOfIt() throws Exception {
+        try (MemberFleet fleet = fleet()) {
+            List<Set<String>> loaded = new ArrayList<>();
+            for (boolean member : new boolean[] {true, false}) {
+                Path classes = folder.resolve("classes-" + member);
+                Map<String, String> told = Map.of("JAVA_TOOL_OPTIONS", "-Xlog:class+load:file=" + classes);
+                Process process = fleet.add("alone-" + member);
+                if (member) {
+                    process.start(told);
+                } else {
+                    process.startApart(told);
+                }
+                fleet.await("it to serve", AWAITED_MS, process::serves);
+                process.kill();
+                try (Stream<String> lines = Files.lines(classes)) {
+                    loaded.add(lines.flatMap(line -> Stream.of(line.split(" ")))
+                            .filter(word -> word.startsWith("kitemux.core.")
+                            || word.startsWith("kitemux.members.")
+                                    || word.contains(".cbor.") || word.contains("NioDatagramChannel"))
+                            .collect(Collectors.toSet()));
+                }
+            }
+            assertTrue(loaded.get(0).contains("kitemux.members.Members"), "the check sees what is loaded");
+            assertEquals(Set.of(), loaded.get(1));
+        }
+    }
+
+    @Test
+    void ofTwoWithOneNameTheLaterStays() throws Exception {
+        try (MemberFleet fleet = fleet().with(4)) {
+            fleet.await("all four to agree", AWAITED_MS, fleet::agree);
+            Process later = fleet.add("m3");
+            later.start();
+            fleet.await("the earlier one to give way", AWAITED_MS, () -> fleet.process(3).view() == null
+                    && later.view() != null);
+            assertTrue(fleet.process(3).printed().contains("members: gave_way m3"),
+                    fleet.process(3).printed());
+            assertTrue(fleet.process(3).isUp(), "it goes on to serve");
+            fleet.await("the others to hold the later one for it", AWAITED_MS, () -> fleet.process(0).view()
+                    .digest() == later.view().digest() && fleet.process(0).live().contains("m3"));
+        }
+    }
+
+    @Test
+    void allKilledAndStartedWithNoSeedUpWaitForOne() throws Exception {
+        try (MemberFleet fleet = fleet().with(6)) {
+            fleet.await("all six to agree", AWAITED_MS, fleet::agree);
+            fleet.processes().forEach(Process::kill);
+            for (Process process : fleet.processes().subList(3, 6)) {
+                process.start();
+            }
+            fleet.await("three to be up, each alone", AWAITED_MS,
+                    () -> fleet.processes().subList(3, 6).stream()
+                    .allMatch(p -> p.live().equals(List.of(p.name()))));
+            fleet.process(0).start();
+            fleet.await("four to agree", AWAITED_MS, () -> fleet.process(0).live().size() == 4
+                    && fleet.agree());
+        }
+    }
+}
