Let a process that has given way still drain when it is told to end

Need: found by reading: after giving way to another of its name, leaving asked a loop that had ended, the hook of SIGTERM ended by that exception, and the node did not drain. Change: such a process has nothing left to say.

--- a/node/src/main/java/kitemux/members/Members.java
+++ b/node/src/main/java/kitemux/members/Members.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.SplittableRandom;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -143,12 +144,16 @@
 
     /** Says that this process goes, and takes part no more; waits for a second at most. */
     public void leave() {
-        loop.submit(() -> {
-            if (core != null) {
-                core.leave(nowUs());
-            }
-            close();
-        }).awaitUninterruptibly(LEAVING_MS);
+        try {
+            loop.submit(() -> {
+                if (core != null) {
+                    core.leave(nowUs());
+                }
+                close();
+            }).awaitUninterruptibly(LEAVING_MS);
+        } catch (RejectedExecutionException e) {
+            // It has given way to another of its name, and has nothing left to say.
+        }
     }
 
     private void close() {
--- a/rig/src/test/java/kitemux/rig/real/MemberFleetTest.java
+++ b/rig/src/test/java/kitemux/rig/real/MemberFleetTest.java
@@ -121,7 +121,10 @@
                     && later.view() != null);
             assertTrue(fleet.process(3).printed().contains("members: gave_way m3"),
                     fleet.process(3).printed());
-            assertTrue(fleet.process(3).isUp(), "it goes on to serve");
+            fleet.await("it to serve", AWAITED_MS, fleet.process(3)::serves);
+            fleet.process(3).end();
+            fleet.await("it to end", AWAITED_MS, () -> !fleet.process(3).isUp());
+            assertTrue(fleet.process(3).printed().contains("draining"), fleet.process(3).printed());
             fleet.await("the others to hold the later one for it", AWAITED_MS, () -> fleet.process(0).view()
                     .digest() == later.view().digest() && fleet.process(0).live().contains("m3"));
         }
