--- a/node/src/main/java/kitemux/node/Node.java
+++ b/node/src/main/java/kitemux/node/Node.java
@@ -54,7 +54,8 @@
     private final Requests requests;
     private Future<?> housekeeping;
     private long housekeptUs;
-    private Supplier<String> moreFigures = () -> "";
+    /** Lines beside the node's own; null where it has none. */
+    private Supplier<String> moreFigures;
     private Future<?> wake;
     private long wakeAtUs;
 
@@ -193,7 +194,7 @@
         @Override
         public String figures() {
             return counters.text(new Counters.Gauges(requests.open(), pool.listed(), module.skipped()))
-                    + moreFigures.get();
+                    + (moreFigures == null ? "" : moreFigures.get());
         }
 
         @Override
