Keep one fault of a server's links when another ends, and ask each view once

Found by reading the change: the end of slow_links on a server whose answers were being lost let them through again in runs with processes, as each fault set the link's state by itself; it is now worked out from all that is wrong. MemberFleet asked a process twice for what it had just said.

--- a/rig/src/main/java/kitemux/rig/real/MemberFleet.java
+++ b/rig/src/main/java/kitemux/rig/real/MemberFleet.java
@@ -15,6 +15,7 @@
 import java.util.function.BiPredicate;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -171,12 +172,7 @@
         /** Names of all that it holds for live, itself included. */
         List<String> live() {
             Look.View view = view();
-            List<String> names = new ArrayList<>();
-            if (view != null) {
-                names.add(view.self().name());
-                view.others().stream().filter(m -> m.state().isLive()).map(Member::name).forEach(names::add);
-            }
-            return names.stream().sorted().toList();
+            return view == null ? List.of() : MemberFleet.live(view);
         }
     }
 
@@ -202,6 +198,11 @@
         return settings;
     }
 
+    private static List<String> live(Look.View view) {
+        return Stream.concat(Stream.of(view.self()), view.others().stream().filter(m -> m.state().isLive()))
+                .map(Member::name).sorted().toList();
+    }
+
     /** One more place; nothing runs there yet. */
     Process add(String name) throws IOException {
         Process added = new Process(name);
@@ -259,7 +260,7 @@
             views.add(view);
         }
         return views.stream().mapToLong(Look.View::digest).distinct().count() == 1
-                && up.get(0).live().equals(names);
+                && live(views.get(0)).equals(names);
     }
 
     /** Throws where this does not hold in time; tells what each holds for live then. */
--- a/rig/src/main/java/kitemux/rig/real/ServerLinks.java
+++ b/rig/src/main/java/kitemux/rig/real/ServerLinks.java
@@ -2,9 +2,10 @@
 
 import java.net.InetSocketAddress;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 import io.netty.channel.EventLoop;
@@ -19,6 +20,7 @@
     private final SplittableRandom random;
     private final Map<String, Map<Integer, FaultLink>> byServer = new LinkedHashMap<>();
     private final Map<String, Long> slower = new HashMap<>();
+    private final Set<String> mute = new HashSet<>();
 
     ServerLinks(EventLoop loop, SplittableRandom random) {
         this.loop = loop;
@@ -47,16 +49,26 @@
     @Override
     public void slow(String server, long us) {
         slower.put(server, us);
-        to(server).forEach(link -> link.set(usual(server)));
+        hurt(server);
     }
 
     @Override
     public void mute(String server, boolean to) {
-        to(server).forEach(link -> link.set(Way.FROM_TARGET, to ? Faults.SILENT : usual(server)));
+        if (to) {
+            mute.add(server);
+        } else {
+            mute.remove(server);
+        }
+        hurt(server);
     }
 
-    private Faults usual(String server) {
-        return Faults.delayed(slower.getOrDefault(server, 0L), 0);
+    /** From all that is wrong with a server's links: the end of one fault must not end another. */
+    private void hurt(String server) {
+        Faults slow = Faults.delayed(slower.getOrDefault(server, 0L), 0);
+        for (FaultLink link : to(server)) {
+            link.set(Way.TO_TARGET, slow);
+            link.set(Way.FROM_TARGET, mute.contains(server) ? Faults.SILENT : slow);
+        }
     }
 
     @Override
@@ -65,6 +77,6 @@
     }
 
     void close() {
-        List.copyOf(byServer.values()).forEach(links -> links.values().forEach(FaultLink::close));
+        byServer.values().forEach(links -> links.values().forEach(FaultLink::close));
     }
 }
