Make room for a new client by one that is still open, not by one already closed

Cause: a connection that is closed leaves the list of clients one turn of the loop later, while its descriptor is given back at once. Where several clients came in one turn, each closed the same oldest idle one, so one place was made for up to sixteen. Ruled out: descriptors that leak (the counts agree with /proc), half-open connections, a limit lower than the file's.

ClientConnection.isIdle asks that it is open.

--- a/node/src/main/java/kitemux/node/ClientConnection.java
+++ b/node/src/main/java/kitemux/node/ClientConnection.java
@@ -114,8 +114,9 @@
         this.owner = owner;
     }
 
+    /** Whether it is open and nothing is owed on it; one that is being closed gives no room by it again. */
     boolean isIdle() {
-        return !busy;
+        return !busy && channel.isOpen();
     }
 
     /** Whether it has been waited for too long: for a request, for the rest of one, or to read. */
--- a/node/src/test/java/kitemux/node/Site.java
+++ b/node/src/test/java/kitemux/node/Site.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
@@ -167,6 +168,27 @@
         }
     }
 
+    /** Keeps the node's one loop from running until the latch is down: what comes meanwhile meets it at once. */
+    CountDownLatch holdLoop() throws InterruptedException {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        loop.execute(() -> {
+            held.countDown();
+            try {
+                release.await(20, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        held.await();
+        return release;
+    }
+
+    /** Waits until the loop has done all that it had to do by now. */
+    void awaitLoop() throws InterruptedException {
+        loop.submit(() -> { }).sync();
+    }
+
     static Http.Message ask(Socket client, String request) throws IOException {
         write(client, request);
         return Http.read(client.getInputStream());
