Hear of a client that leaves while it has sent ahead, and answer what was read before a drain

Need: no attempt may begin once a client has closed, and what a node has read it owes an answer.

Found by reading. A client that sends its next request ahead of the answer had its connection read no further, so that its end went unheard: the request that waited was sent on after it had left. And a node that drained ended such a connection with the answer that was due, dropping requests it had read.

What is sent ahead is now kept in SentAhead, up to 64 KiB a connection; it is read on until then. A draining node ends a connection with the last answer to what it has read. Not mended: a client behind a body of more than 64 KiB that no server takes yet is heard of only once one does (docs/acceptance.md).

Tests: EndingTest.aClientThatLeavesIsHeardOf... and aDrainingNodeAnswersAll..., both failed on the code before it; whatAClientSendsAheadIsBounded.

--- a/node/src/main/java/kitemux/node/ClientConnection.java
+++ b/node/src/main/java/kitemux/node/ClientConnection.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
@@ -79,7 +78,7 @@
     private final Owner owner;
     private final SocketChannel channel;
     /** What was sent ahead of the answer that is due. */
-    private final ArrayDeque<HttpObject> waiting = new ArrayDeque<>();
+    private final SentAhead waiting = new SentAhead();
     private final long connectedAtNanos = System.nanoTime();
     private long activeAtNanos = connectedAtNanos;
     /** Whether it has asked a request that could be read: it is a client, not just any peer. */
@@ -116,7 +115,7 @@
 
     /** Whether it is open and nothing is owed on it; one that is being closed gives no room by it again. */
     boolean isIdle() {
-        return !busy && channel.isOpen();
+        return !busy && waiting.isEmpty() && channel.isOpen();
     }
 
     /** Whether it has been waited for too long: for a request, for the rest of one, or to read. */
@@ -156,9 +155,12 @@
             return;
         }
         if (busy && whole) {
-            // Sent ahead of the answer: read on only once it is its turn, so that what waits is bounded.
-            waiting.add(ReferenceCountUtil.retain(part));
-            channel.config().setAutoRead(false);
+            // Sent ahead of the answer. Read on as long as it may wait here: that its client has left is
+            // only heard of by reading.
+            waiting.add(part);
+            if (waiting.isFull()) {
+                channel.config().setAutoRead(false);
+            }
             return;
         }
         take(part);
@@ -322,7 +324,7 @@
     public void goOn() {
         heldBack = false;
         activeAtNanos = System.nanoTime();
-        if (waiting.isEmpty()) {
+        if (!waiting.isFull()) {
             channel.config().setAutoRead(true);
         }
     }
@@ -403,7 +405,8 @@
             goOn();
         }
         activeAtNanos = System.nanoTime();
-        if (!keepAlive || owner.drains()) {
+        // What was read ahead has been taken, and is answered before the connection ends.
+        if (!keepAlive || owner.drains() && waiting.isEmpty()) {
             keepAlive = false;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
@@ -446,7 +449,7 @@
                 ReferenceCountUtil.release(part);
             }
         }
-        if (waiting.isEmpty() && !heldBack) {
+        if (!waiting.isFull() && !heldBack) {
             channel.config().setAutoRead(true);
         }
         if (upload != null) {
@@ -468,8 +471,7 @@
         whole = true;
         busy = true;
         letGo();
-        waiting.forEach(ReferenceCountUtil::release);
-        waiting.clear();
+        waiting.release();
         if (held != null) {
             held.left();
         }
--- /dev/null
+++ b/node/src/main/java/kitemux/node/SentAhead.java
@@ -0,0 +1,48 @@
+package kitemux.node;
+
+import java.util.ArrayDeque;
+
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.util.ReferenceCountUtil;
+
+/** What a client has sent ahead of the answer that it is due, in order; bounded, as it may never stop. */
+final class SentAhead {
+    /** What a part weighs beside its content: its head's fields, or the objects that hold it. */
+    private static final int PART_BYTES = 512;
+
+    private final ArrayDeque<HttpObject> parts = new ArrayDeque<>();
+    private int bytes;
+
+    /** Keeps a part, beside whoever has it now. */
+    void add(HttpObject part) {
+        parts.add(ReferenceCountUtil.retain(part));
+        bytes += weight(part);
+    }
+
+    /** The next part, to be released; null if there is none. */
+    HttpObject poll() {
+        HttpObject part = parts.poll();
+        bytes -= part == null ? 0 : weight(part);
+        return part;
+    }
+
+    boolean isEmpty() {
+        return parts.isEmpty();
+    }
+
+    /** Whether nothing more should be read until some of it is gone. */
+    boolean isFull() {
+        return bytes >= Flow.MOST_GATHERED;
+    }
+
+    void release() {
+        parts.forEach(ReferenceCountUtil::release);
+        parts.clear();
+        bytes = 0;
+    }
+
+    private static int weight(HttpObject part) {
+        return PART_BYTES + (part instanceof HttpContent content ? content.content().readableBytes() : 0);
+    }
+}
--- a/node/src/test/java/kitemux/node/EndingTest.java
+++ b/node/src/test/java/kitemux/node/EndingTest.java
@@ -1,6 +1,7 @@
 package kitemux.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -10,8 +11,29 @@
 
 import org.junit.jupiter.api.Test;
 
+import io.netty.handler.codec.http.LastHttpContent;
+
 /** Clients' connections that end while something else happens on them: {@code docs/acceptance.md}. */
 class EndingTest {
+    private static final String PIPELINED = Http.page("a") + Http.page("b");
+    /** A server that answers once the latch is down, with the request's id. */
+    private static FarServer answering(CountDownLatch when) throws IOException {
+        return new FarServer((request, peer) -> {
+            try {
+                assertTrue(when.await(20, TimeUnit.SECONDS));
+            } catch (InterruptedException e) {
+                throw new IOException(e);
+            }
+            peer.write(Http.ok(request.headers().get("x-txn")));
+        });
+    }
+
+    private static CountDownLatch drain(Site site) {
+        CountDownLatch done = new CountDownLatch(1);
+        site.node.drain(done::countDown);
+        return done;
+    }
+
     @Test
     void connectionsThatComeAtOnceMakeRoomForEachOther() throws Exception {
         try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
@@ -38,4 +60,57 @@
             assertTrue(closed.await(20, TimeUnit.SECONDS), closed.getCount() + " too many are open");
         }
     }
+
+    @Test
+    void aClientThatLeavesIsHeardOfThoughItHasSentRequestsAhead() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        try (FarServer server = answering(answer); Site site = Site.quiet()) {
+            site.operated = true;
+            site.start(server);
+            Socket client = site.connect();
+            Site.write(client, PIPELINED.replace("400m", "50000m"));
+            assertEquals("a", FarServer.next(server.requests).headers().get("x-txn"));
+            client.close();
+            // Heard of while the answer is still out.
+            site.awaitFigure("node_in_progress 0");
+            answer.countDown();
+            assertEquals(200, site.ask(Http.page("c")).status());
+            assertEquals("c", FarServer.next(server.requests).headers().get("x-txn"), "b went on");
+        }
+    }
+
+    @Test
+    void aDrainingNodeAnswersAllThatItHasReadAndEndsWithTheLast() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        try (FarServer server = answering(answer); Site site = Site.quiet().start(server)) {
+            Socket client = site.connect();
+            Site.write(client, PIPELINED.replace("400m", "50000m"));
+            FarServer.next(server.requests);
+            site.awaitLoop();
+            CountDownLatch done = drain(site);
+            answer.countDown();
+            Http.Message first = Http.read(client.getInputStream());
+            assertEquals("a", first.body());
+            assertFalse(first.headers().containsKey("connection"));
+            Http.Message second = Http.read(client.getInputStream());
+            assertEquals("b", second.body());
+            assertEquals("close", second.headers().get("connection"));
+            assertEquals(-1, client.getInputStream().read());
+            client.close();
+            assertTrue(done.await(20, TimeUnit.SECONDS));
+        }
+    }
+
+    @Test
+    void whatAClientSendsAheadIsBounded() {
+        SentAhead ahead = new SentAhead();
+        int parts = 0;
+        while (!ahead.isFull()) {
+            ahead.add(LastHttpContent.EMPTY_LAST_CONTENT);
+            parts++;
+        }
+        assertTrue(parts <= 128, parts + " parts");
+        ahead.poll();
+        assertFalse(ahead.isFull());
+    }
 }
