End clients' connections by half-closing, and read what still comes for 2 s at most

Need: bytes may come in the instant in which a node closes, and a close over unread bytes resets the connection, which takes answers with it that are still on their way.

A drain closed idle connections whole, and a connection whose answer says close was closed one turn of the loop after its half-close. Both now end the node's side alone (ClientConnection.shutDown), read and drop what comes until the client ends its own, and close after 2 s at the latest, as refusals of improper requests did already. To make room, and for clients that are overdue, a close stays a close.

Tests: EndingTest.aRequestThatCrosses..., whatComesBehindTheLastAnswer... (close asked for, and drain): on the code before, the second write of a client fails by the reset. aClientThatKeepsSending... shows the bound.

--- a/node/src/main/java/kitemux/node/ClientConnection.java
+++ b/node/src/main/java/kitemux/node/ClientConnection.java
@@ -26,6 +26,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 
 /**
  * A client's connection: one request at a time, further ones wait their turn. It is long because reading,
@@ -72,7 +73,7 @@
     /** So does whoever takes nothing more of an answer, and a connection to a server with it. */
     private static final long MOST_STALL_NANOS = TimeUnit.SECONDS.toNanos(20);
 
-    /** How long the rest of what was turned down may take to come. */
+    /** How long what a client still sends is read after the node has ended its side. */
     private static final long LINGER_MS = 2_000;
 
     private final Owner owner;
@@ -100,7 +101,8 @@
     private long came;
     private Upload upload;
     private boolean heldBack;
-    private long lingerMs;
+    /** The end of the time in which what still comes is read and dropped; null until the node ends its side. */
+    private Future<?> lingering;
     /** The request that is open, as its owner knows it. */
     private OpenRequest held;
 
@@ -142,6 +144,20 @@
         channel.close();
     }
 
+    /**
+     * Ends the node's side alone, and reads and drops what still comes until the client ends its own: closing
+     * over unread bytes would reset the connection, and with it go answers that are still on their way.
+     */
+    void shutDown() {
+        keepAlive = false;
+        if (lingering == null && channel.isActive()) {
+            waiting.release();
+            channel.shutdownOutput();
+            channel.config().setAutoRead(true);
+            lingering = channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** What is told if the client leaves. */
     void hold(OpenRequest request) {
         held = request;
@@ -304,7 +320,6 @@
         busy = true;
         whole = true;
         written = false;
-        lingerMs = LINGER_MS;
         OpenRequest open = held;
         answer(status, NO_BODY, 0);
         if (open != null) {
@@ -432,9 +447,7 @@
         busy = false;
         head = null;
         if (!keepAlive) {
-            // What is still coming is read for a while: closing on it would break the answer off.
-            channel.shutdownOutput();
-            channel.eventLoop().schedule(() -> channel.close(), lingerMs, TimeUnit.MILLISECONDS);
+            shutDown();
         } else if (!waiting.isEmpty()) {
             channel.eventLoop().execute(this::serveNext);
         }
@@ -472,6 +485,9 @@
         busy = true;
         letGo();
         waiting.release();
+        if (lingering != null) {
+            lingering.cancel(false);
+        }
         if (held != null) {
             held.left();
         }
--- a/node/src/main/java/kitemux/node/ClientServer.java
+++ b/node/src/main/java/kitemux/node/ClientServer.java
@@ -128,7 +128,8 @@
     }
 
     private void closeIdle() {
-        new ArrayList<>(clients).stream().filter(ClientConnection::isIdle).forEach(ClientConnection::close);
+        new ArrayList<>(clients).stream().filter(ClientConnection::isIdle)
+                .forEach(ClientConnection::shutDown);
     }
 
     /**
--- a/node/src/test/java/kitemux/node/EndingTest.java
+++ b/node/src/test/java/kitemux/node/EndingTest.java
@@ -10,12 +10,15 @@
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import io.netty.handler.codec.http.LastHttpContent;
 
 /** Clients' connections that end while something else happens on them: {@code docs/acceptance.md}. */
 class EndingTest {
     private static final String PIPELINED = Http.page("a") + Http.page("b");
+
     /** A server that answers once the latch is down, with the request's id. */
     private static FarServer answering(CountDownLatch when) throws IOException {
         return new FarServer((request, peer) -> {
@@ -101,6 +104,61 @@
         }
     }
 
+    /** What a client still writes is taken in and dropped: a reset would go behind an answer on its way. */
+    private static void assertReadAndDropped(Site site, Socket client) throws Exception {
+        for (int i = 0; i < 20; i++) {
+            // To a connection that is closed the first of them is answered by a reset, and the next fails.
+            Site.write(client, Http.page("late" + i));
+            site.awaitLoop();
+        }
+    }
+
+    @Test
+    void aRequestThatCrossesTheEndOfARestingConnectionIsNotSentOn() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+            Socket client = site.connect();
+            assertEquals(200, Site.ask(client, Http.page("t")).status());
+            CountDownLatch done = drain(site);
+            assertEquals(-1, client.getInputStream().read());
+            assertReadAndDropped(site, client);
+            assertEquals(1, server.requests.size());
+            assertEquals(1, done.getCount(), "it may still have to hear of the end");
+            client.close();
+            assertTrue(done.await(20, TimeUnit.SECONDS));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void whatComesBehindTheLastAnswerIsReadAndDropped(boolean drains) throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        try (FarServer server = answering(answer); Site site = Site.quiet().start(server)) {
+            Socket client = site.connect();
+            String last = Http.page("/api/page", "a", "5000m");
+            Site.write(client, drains ? last : last.replace("X-Org", "Connection: close\r\nX-Org"));
+            FarServer.next(server.requests);
+            if (drains) {
+                drain(site);
+            }
+            answer.countDown();
+            assertEquals("a", Http.read(client.getInputStream()).body());
+            assertEquals(-1, client.getInputStream().read());
+            assertReadAndDropped(site, client);
+            assertTrue(server.requests.isEmpty());
+        }
+    }
+
+    @Test
+    void aClientThatKeepsSendingBehindItsEndIsClosedInTheEnd() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+            Socket client = site.connect();
+            assertEquals(200, Site.ask(client, Http.page("t")).status());
+            CountDownLatch done = drain(site);
+            assertEquals(-1, client.getInputStream().read());
+            assertTrue(done.await(20, TimeUnit.SECONDS), "it never closes its side");
+        }
+    }
+
     @Test
     void whatAClientSendsAheadIsBounded() {
         SentAhead ahead = new SentAhead();
