Understand lists on a watch that come indented over several lines

A line of such a list was "bad line", so that the watch was opened again and again and nothing was learned.

A list ends at the end of a line where every bracket is closed (Brackets, heedful of strings). A blank line is a beat and ends it too: what is open before one will never be whole, and breaks the watch.

Test: DiscoveryTest.aListMayComeIndentedAndInPieces, failed on the code before. Of aBadLineBreaksTheWatch the case of a line cut short now has the beat behind it, as without one it may be a list's first line; a case cut inside a string is new.

--- a/node/src/main/java/kitemux/node/Discovery.java
+++ b/node/src/main/java/kitemux/node/Discovery.java
@@ -197,6 +197,7 @@
 
     private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
         private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private final Brackets brackets = new Brackets();
         private Channel channel;
         private Future<?> silence;
         private boolean over;
@@ -258,13 +259,13 @@
         private void read(ByteBuf bytes) {
             while (bytes.isReadable() && !over) {
                 int length = bytes.bytesBefore((byte) '\n');
-                byte[] part = new byte[length < 0 ? bytes.readableBytes() : length];
+                byte[] part = new byte[length < 0 ? bytes.readableBytes() : length + 1];
                 bytes.readBytes(part);
                 line.writeBytes(part);
+                brackets.heed(part);
                 if (line.size() > MOST_LINE) {
                     broken("line without an end");
-                } else if (length >= 0) {
-                    bytes.skipBytes(1);
+                } else if (length >= 0 && brackets.endLine()) {
                     byte[] whole = line.toByteArray();
                     line.reset();
                     readLine(whole);
