Say in the log that SIGHUP is ignored, where whoever started the process had it so

The JVM leaves a signal alone that is ignored at its start, so the node cannot reload there. One line tells it now.

--- a/node/src/main/java/kitemux/node/HangUp.java
+++ b/node/src/main/java/kitemux/node/HangUp.java
@@ -20,8 +20,12 @@
                         reload.run();
                         return null;
                     });
-            signal.getMethod("handle", signal, handler)
+            Object before = signal.getMethod("handle", signal, handler)
                     .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), reloader);
+            if (before == handler.getField("SIG_IGN").get(null)) {
+                // The JVM leaves it so, as nohup wants it: the list would be lost where discovery moves.
+                Log.line("SIGHUP is ignored, as by nohup: no new configuration will be taken");
+            }
         } catch (ReflectiveOperationException e) {
             throw new IllegalStateException("SIGHUP cannot be handled", e);
         }
