Begin no repeat whose window has passed while it waited for its connection

Need: a request of a keyed class may go out again only within its class's window, reckoned from the send of the first attempt that may have run.

Actions.send tells by when an attempt has to begin, and the pool asks that of what has waited as it hands it a connection; one that is too late never ran. The simulator's wire starts attempts at once, so its adapter has no use for it.

--- a/node/src/main/java/kitemux/Balancer.java
+++ b/node/src/main/java/kitemux/Balancer.java
@@ -63,8 +63,12 @@
 
     /** What the module asks of its node. Calls take effect in order, at the time of the event. */
     interface Actions {
-        /** Start the next attempt of a request (numbered 0, 1, 2 ...), to be given up at {@code untilUs}. */
-        void send(long requestId, String serverId, long untilUs);
+        /**
+         * Start the next attempt of a request (numbered 0, 1, 2 ...), to be given up at {@code untilUs}.
+         * After {@code beginByUs} it may not begin any more, whatever it waits for: a repeat
+         * that has still to get a connection may run out of the time in which it is known as one.
+         */
+        void send(long requestId, String serverId, long beginByUs, long untilUs);
 
         /** Stop waiting for an attempt; it still gets its outcome. */
         void cancel(long requestId, int attempt);
--- a/node/src/main/java/kitemux/ServiceQBalancer.java
+++ b/node/src/main/java/kitemux/ServiceQBalancer.java
@@ -286,6 +286,12 @@
             keySeed = set.warmKeys && request.key() != null ? mix(request.key().hashCode()) | 1 : 0;
         }
 
+        /** Rule 2: by when a further attempt has to begin, where this one may have run (-1: none has). */
+        long mayBeginUntil(int binding) {
+            return cls.repeat() == Repeat.KEYED && binding >= 0 ? sentAt[binding] + cls.windowUs()
+                    : Long.MAX_VALUE;
+        }
+
         /** The earliest attempt not known never to have run, or -1: it binds repeats and refusals. */
         int binding() {
             for (int i = 0; i < attempts; i++) {
@@ -1180,6 +1186,7 @@
     // ---------------------------------------------------------------- sending
 
     private void send(Call call, Server server) {
+        long beginBy = call.mayBeginUntil(call.binding());
         int attempt = call.attempts++;
         call.servers[attempt] = server;
         call.sentAt[attempt] = now;
@@ -1194,7 +1201,7 @@
             // the gap, and if the next gap began only then, most of the budget would be lost.
             server.coldSentAt = Math.max((long) (now - evenGap()), server.coldSentAt + coldGap(server));
         }
-        out.send(call.request.id(), server.id, call.deadlineAt);
+        out.send(call.request.id(), server.id, beginBy, call.deadlineAt);
     }
 
     // ---------------------------------------------------------------- the four rules
@@ -1237,8 +1244,7 @@
             return false;
         }
         int binding = call.binding();
-        return binding < 0 || call.cls.repeat() == Repeat.SAFE || call.cls.repeat() == Repeat.KEYED
-                && now <= call.sentAt[binding] + call.cls.windowUs();
+        return binding < 0 || call.cls.repeat() != Repeat.UNSAFE && now <= call.mayBeginUntil(binding);
     }
 
     /** Rules 2 to 4 for one server: the keyed group, the list's word, and a cold server's budget. */
--- a/node/src/main/java/kitemux/adapter/Reply.java
+++ b/node/src/main/java/kitemux/adapter/Reply.java
@@ -32,7 +32,7 @@
     }
 
     @Override
-    public void send(long requestId, String serverId, long untilUs) {
+    public void send(long requestId, String serverId, long beginByUs, long untilUs) {
         open("route");
         handle(requestId);
         text(" server=");
--- a/node/src/main/java/kitemux/node/AttemptLife.java
+++ b/node/src/main/java/kitemux/node/AttemptLife.java
@@ -26,6 +26,7 @@
     private final String serverId;
     private final Means means;
     private final long sentAtUs;
+    private final long beginByUs;
     private final long untilUs;
     /** From when the server could work on it, and when it began to answer; 0 until then. */
     private long wholeAtUs;
@@ -39,10 +40,11 @@
     private double[] report;
     private boolean over;
 
-    AttemptLife(RequestLife of, int number, String serverId, long untilUs, Means means) {
+    AttemptLife(RequestLife of, int number, String serverId, long beginByUs, long untilUs, Means means) {
         this.of = of;
         this.number = number;
         this.serverId = serverId;
+        this.beginByUs = beginByUs;
         this.untilUs = untilUs;
         this.means = means;
         sentAtUs = means.clock().nowUs();
@@ -62,6 +64,11 @@
         return Math.min(untilUs, of.deadlineUs());
     }
 
+    @Override
+    public boolean mayBegin() {
+        return means.clock().nowUs() <= beginByUs;
+    }
+
     @Override
     public FullHttpRequest message() {
         of.carriedBy(this);
--- a/node/src/main/java/kitemux/node/Exchange.java
+++ b/node/src/main/java/kitemux/node/Exchange.java
@@ -7,6 +7,9 @@
 
 /** What is sent to a server and waits for its answer. */
 interface Exchange {
+    /** Whether it may still begin; asked when it has waited for the connection that is to carry it. */
+    boolean mayBegin();
+
     /** The message; asked for once, when a connection is there to carry it. */
     FullHttpRequest message();
 
--- a/node/src/main/java/kitemux/node/Node.java
+++ b/node/src/main/java/kitemux/node/Node.java
@@ -267,8 +267,8 @@
     // ---------------------------------------------------------------- what the module asks for
 
     @Override
-    public void send(long requestId, String serverId, long untilUs) {
-        requests.send(requestId, serverId, untilUs);
+    public void send(long requestId, String serverId, long beginByUs, long untilUs) {
+        requests.send(requestId, serverId, beginByUs, untilUs);
     }
 
     @Override
--- a/node/src/main/java/kitemux/node/Probe.java
+++ b/node/src/main/java/kitemux/node/Probe.java
@@ -38,6 +38,11 @@
         means.pool().start(serverId, this);
     }
 
+    @Override
+    public boolean mayBegin() {
+        return true;
+    }
+
     @Override
     public FullHttpRequest message() {
         FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/alive",
--- a/node/src/main/java/kitemux/node/RequestLife.java
+++ b/node/src/main/java/kitemux/node/RequestLife.java
@@ -144,8 +144,8 @@
         return number < maxAttempts && !ended && (request.upload() == null || request.upload().isFree());
     }
 
-    void send(String serverId, long untilUs) {
-        AttemptLife attempt = new AttemptLife(this, attempts.size(), serverId, untilUs, means);
+    void send(String serverId, long beginByUs, long untilUs) {
+        AttemptLife attempt = new AttemptLife(this, attempts.size(), serverId, beginByUs, untilUs, means);
         attempts.add(attempt);
         outstanding++;
         attempt.begin();
--- a/node/src/main/java/kitemux/node/Requests.java
+++ b/node/src/main/java/kitemux/node/Requests.java
@@ -84,10 +84,10 @@
 
     // ---------------------------------------------------------------- what the module asks for
 
-    void send(long requestId, String serverId, long untilUs) {
+    void send(long requestId, String serverId, long beginByUs, long untilUs) {
         RequestLife request = held.get(requestId);
         // Where the body flows, the module does not know yet by when the client wants its answer.
-        request.send(serverId, untilUs == 0 || request.request.upload() != null ? Long.MAX_VALUE : untilUs);
+        request.send(serverId, beginByUs, untilUs == 0 || request.request.upload() != null ? Long.MAX_VALUE : untilUs);
     }
 
     void cancel(long requestId, int attempt) {
--- a/node/src/main/java/kitemux/node/ServerPool.java
+++ b/node/src/main/java/kitemux/node/ServerPool.java
@@ -88,7 +88,10 @@
         @Override
         public void free(ServerConnection connection) {
             idle.push(connection);
-            Exchange next = awaiting.poll();
+            Exchange next;
+            while ((next = awaiting.poll()) != null && !next.mayBegin()) {
+                next.ended(Result.CONNECT_FAILED, NO_BODY);
+            }
             if (next != null) {
                 connection.carry(next);
             }
--- a/node/src/test/java/kitemux/ExampleTest.java
+++ b/node/src/test/java/kitemux/ExampleTest.java
@@ -15,7 +15,7 @@
         final List<String> asked = new ArrayList<>();
 
         @Override
-        public void send(long requestId, String serverId, long untilUs) {
+        public void send(long requestId, String serverId, long beginByUs, long untilUs) {
             asked.add("send " + requestId + " to " + serverId);
         }
 
--- a/node/src/test/java/kitemux/Node.java
+++ b/node/src/test/java/kitemux/Node.java
@@ -170,7 +170,7 @@
     }
 
     @Override
-    public void send(long requestId, String serverId, long untilUs) {
+    public void send(long requestId, String serverId, long beginByUs, long untilUs) {
         sent.add(new Sent(now, requestId, attempts(requestId), serverId, untilUs));
     }
 
--- a/node/src/test/java/kitemux/RandomEventsTest.java
+++ b/node/src/test/java/kitemux/RandomEventsTest.java
@@ -84,7 +84,7 @@
         }
 
         @Override
-        public void send(long requestId, String serverId, long untilUs) {
+        public void send(long requestId, String serverId, long beginByUs, long untilUs) {
             trace.append(now).append(" send ").append(requestId).append(serverId).append('\n');
             Held request = held.get(requestId);
             ServerEntry server = servers.get(serverId);
--- /dev/null
+++ b/node/src/test/java/kitemux/node/LateConnectionTest.java
@@ -0,0 +1,151 @@
+package kitemux.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+
+import kitemux.Balancer;
+import kitemux.Balancer.Group;
+import kitemux.Balancer.Repeat;
+import kitemux.Balancer.RequestClass;
+import kitemux.ServiceQBalancer;
+
+/** Connections to servers that come up once what they were opened for has changed. */
+class LateConnectionTest {
+    private static final String PHOTO = "POST /api/7f3a HTTP/1.1\r\nHost: h\r\nX-Txn: %s\r\nX-Lane: photo\r\n"
+            + "X-Remaining: 15000m\r\nIdempotency-Key: 5c0f\r\nContent-Length: 0\r\n\r\n";
+
+    /** A server whose backlog is full: the system asks again a second later, so connections come up late. */
+    private static final class LateServer implements AutoCloseable {
+        private final BlockingQueue<String> asked = new LinkedBlockingQueue<>();
+        private final List<Socket> open = new ArrayList<>();
+        private final ServerSocket listening = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+
+        LateServer() throws IOException {
+            for (int i = 0; i < 2; i++) {
+                open.add(new Socket(listening.getInetAddress(), listening.getLocalPort()));
+            }
+        }
+
+        String entry(String id) {
+            return id + "=127.0.0.1:" + listening.getLocalPort() + "=Ready";
+        }
+
+        /** Takes connections from now on and notes what is asked on each. */
+        void letIn() {
+            Thread thread = new Thread(() -> {
+                try {
+                    while (true) {
+                        Socket socket = listening.accept();
+                        open.add(socket);
+                        Thread peer = new Thread(() -> serve(socket), "late peer");
+                        peer.setDaemon(true);
+                        peer.start();
+                    }
+                } catch (IOException e) {
+                    // Closed: the test is over.
+                }
+            }, "late");
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        private void serve(Socket socket) {
+            try {
+                while (true) {
+                    asked.add(Http.read(socket.getInputStream()).headers().get("x-txn"));
+                    new FarServer.Peer(socket).write(Http.ok("late"));
+                }
+            } catch (IOException e) {
+                // It has ended.
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            listening.close();
+        }
+    }
+
+    /** The module, with a permit for each attempt that it has started. */
+    private static Balancer counting(Site site, Balancer.Actions actions, Semaphore started) {
+        return new ServiceQBalancer(site.settings, 7, (Balancer.Actions) Proxy.newProxyInstance(
+                Balancer.class.getClassLoader(), new Class<?>[] {Balancer.Actions.class},
+                (proxy, method, args) -> {
+                    try {
+                        Object result = method.invoke(actions, args);
+                        started.release(method.getName().equals("send") ? 1 : 0);
+                        return result;
+                    } catch (InvocationTargetException e) {
+                        throw e.getCause();
+                    }
+                }));
+    }
+
+    @Test
+    void aRepeatWhoseConnectionComesUpBehindItsWindowIsNotSent() throws Exception {
+        Semaphore started = new Semaphore(0);
+        CountDownLatch listed = new CountDownLatch(1);
+        try (LateServer late = new LateServer(); FarServer first = new FarServer((request, peer) -> {
+            try {
+                assertTrue(listed.await(20, TimeUnit.SECONDS));
+            } catch (InterruptedException e) {
+                throw new IOException(e);
+            }
+            peer.reset();
+        }); Site site = Site.quiet()) {
+            site.operated = true;
+            site.settings.classes.set(1, new RequestClass("photo", 1_000_000, 0, 15_000_000, 1, 0,
+                    Repeat.KEYED, Group.CELL, 900_000, false));
+            site.module = actions -> counting(site, actions, started);
+            site.start(first);
+            FarServer.Peer watch = FarServer.next(site.discovery.peers);
+            Socket client = site.connect();
+            Site.write(client, PHOTO.formatted("t"));
+            FarServer.next(first.requests);
+            watch.write(Site.chunk(Site.list(2, false, late.entry("s1")) + "\n"));
+            site.awaitFigure("node_known_app_servers 2");
+            listed.countDown();
+            // The repeat has asked for its connection, and is to be asked again by the system.
+            assertTrue(started.tryAcquire(2, 20, TimeUnit.SECONDS));
+            site.awaitLoop();
+            late.letIn();
+            assertEquals(502, Http.read(client.getInputStream()).status());
+            assertTrue(late.asked.isEmpty(), "sent behind its window");
+        }
+    }
+
+    @Test
+    void aConnectionThatComesUpBehindItsRequestsEndCarriesTheNextOne() throws Exception {
+        Semaphore started = new Semaphore(0);
+        try (LateServer late = new LateServer(); Site site = Site.quiet()) {
+            site.operated = true;
+            site.module = actions -> counting(site, actions, started);
+            site.startKnowing(Site.list(1, true, late.entry("s0")));
+            Socket client = site.connect();
+            Site.write(client, PHOTO.formatted("gone"));
+            assertTrue(started.tryAcquire(20, TimeUnit.SECONDS));
+            site.awaitLoop();
+            client.close();
+            site.awaitFigure("node_in_progress 0");
+            late.letIn();
+            assertEquals(200, site.ask(PHOTO.formatted("next")).status());
+            assertEquals(List.of("next"), List.copyOf(late.asked));
+        }
+    }
+}
--- a/rig/src/main/java/kitemux/rig/baseline/Baseline.java
+++ b/rig/src/main/java/kitemux/rig/baseline/Baseline.java
@@ -108,7 +108,7 @@
         call.servers.add(server);
         call.outstanding++;
         inFlight.merge(server, 1, Integer::sum);
-        out.send(call.request.id(), server, 0);
+        out.send(call.request.id(), server, Long.MAX_VALUE, 0);
     }
 
     @Override
--- a/rig/src/main/java/kitemux/rig/world/SimNode.java
+++ b/rig/src/main/java/kitemux/rig/world/SimNode.java
@@ -368,7 +368,7 @@
     // ---------------------------------------------------------------- what the module asks for
 
     @Override
-    public void send(long requestId, String serverId, long untilUs) {
+    public void send(long requestId, String serverId, long beginByUs, long untilUs) {
         Held request = held.get(requestId);
         AppServer server = world.servers().get(serverId);
         Attempt attempt = new Attempt(request, server);
--- a/rig/src/test/java/kitemux/rig/play/Planted.java
+++ b/rig/src/test/java/kitemux/rig/play/Planted.java
@@ -102,9 +102,9 @@
     }
 
     @Override
-    public void send(long requestId, String serverId, long untilUs) {
+    public void send(long requestId, String serverId, long beginByUs, long untilUs) {
         sentTo.put(requestId, serverId);
-        out.send(requestId, serverId, untilUs);
+        out.send(requestId, serverId, beginByUs, untilUs);
     }
 
     @Override
--- a/rig/src/test/java/kitemux/rig/play/PlantedFaultsTest.java
+++ b/rig/src/test/java/kitemux/rig/play/PlantedFaultsTest.java
@@ -112,17 +112,17 @@
                     public void onOutcome(long nowUs, Outcome outcome) {
                         if (outcome.result() == Result.ERROR && isUnsafe(this, outcome.requestId())
                                 && !outcome.requestEnded()) {
-                            out.send(outcome.requestId(), another(sentTo.get(outcome.requestId())), 0);
+                            out.send(outcome.requestId(), another(sentTo.get(outcome.requestId())), 0, 0);
                         }
                         super.onOutcome(nowUs, outcome);
                     }
                 }),
                 new Fault("a second copy of an unsafe request", "Repeats", "calm", () -> new Planted() {
                     @Override
-                    public void send(long requestId, String serverId, long untilUs) {
-                        super.send(requestId, serverId, untilUs);
+                    public void send(long requestId, String serverId, long beginByUs, long untilUs) {
+                        super.send(requestId, serverId, beginByUs, untilUs);
                         if (isUnsafe(this, requestId)) {
-                            out.send(requestId, another(serverId), untilUs);
+                            out.send(requestId, another(serverId), beginByUs, untilUs);
                         }
                     }
                 }),
@@ -141,12 +141,12 @@
                 }),
                 new Fault("cold servers flooded", "ColdServers", "herd", () -> new Planted() {
                     @Override
-                    public void send(long requestId, String serverId, long untilUs) {
+                    public void send(long requestId, String serverId, long beginByUs, long untilUs) {
                         String coldest = listed.values().stream()
                                 .filter(e -> e.state() == ServerState.READY && e.startedAtUs() > 0)
                                 .max((a, b) -> Long.compare(a.startedAtUs(), b.startedAtUs()))
                                 .map(ServerEntry::id).orElse(serverId);
-                        super.send(requestId, coldest, untilUs);
+                        super.send(requestId, coldest, beginByUs, untilUs);
                     }
                 }));
     }
