Reckon a planned end by the classes in the file, not by those dropped before

Found by reading what a new file may leave behind. A process that ends while another takes over gives its requests the time until it is killed, which the platform reckons from the longest deadline of the file as it is. The node took the longest of all classes that it had ever read, so that after a class with a long deadline was dropped it would still have been answering when it was killed.

Tuning.longestDeadlineUs goes by the current classes.

--- a/node/src/main/java/kitemux/node/Node.java
+++ b/node/src/main/java/kitemux/node/Node.java
@@ -158,9 +158,7 @@
                 clients.drain(whenEmpty);
                 return;
             }
-            long longest = tuning.known().stream()
-                    .mapToLong(Balancer.RequestClass::deadlineUs).max().orElse(0);
-            long leftUs = Math.min(MOST_DEADLINE_US, longest) + KILL_US - ROOM_US;
+            long leftUs = Math.min(MOST_DEADLINE_US, tuning.longestDeadlineUs()) + KILL_US - ROOM_US;
             requests.endAt(clock.nowUs() + leftUs);
             clients.handOver(Math.max(0, leftUs - LAST_ASKED_US) / 1_000, whenEmpty);
         });
--- a/node/src/main/java/kitemux/node/Tuning.java
+++ b/node/src/main/java/kitemux/node/Tuning.java
@@ -89,6 +89,11 @@
         return places;
     }
 
+    /** What the platform reckons with at a planned end: it knows the file as it is, and no rules before it. */
+    long longestDeadlineUs() {
+        return current.values().stream().mapToLong(place -> known.get(place).deadlineUs()).max().orElse(0);
+    }
+
     /** How long clients may still ask by rules that are no longer in the file. */
     long settlesAfterUs() {
         return asked.values().stream().flatMap(Set::stream).filter(place -> !current.containsValue(place))
