--- a/node/src/main/java/kitemux/node/ClientConnection.java
+++ b/node/src/main/java/kitemux/node/ClientConnection.java
@@ -78,6 +78,7 @@
 
     private final Owner owner;
     private final SocketChannel channel;
+    private final StrictServerCodec codec;
     /** What was sent ahead of the answer that is due. */
     private final SentAhead waiting = new SentAhead();
     private final long connectedAtNanos = System.nanoTime();
@@ -110,8 +111,9 @@
     private Flow answering;
     private long stalledSinceNanos;
 
-    ClientConnection(SocketChannel channel, Owner owner) {
+    ClientConnection(SocketChannel channel, StrictServerCodec codec, Owner owner) {
         this.channel = channel;
+        this.codec = codec;
         this.owner = owner;
     }
 
@@ -120,6 +122,11 @@
         return !busy && waiting.isEmpty() && channel.isOpen();
     }
 
+    /** Whether it is idle and no part of a request has come either: its client has been promised nothing. */
+    boolean isResting() {
+        return isIdle() && !codec.isAmidMessage();
+    }
+
     /** Whether it has been waited for too long: for a request, for the rest of one, or to read. */
     boolean isOverdue(long now) {
         if (answering != null) {
--- a/node/src/main/java/kitemux/node/ClientServer.java
+++ b/node/src/main/java/kitemux/node/ClientServer.java
@@ -85,9 +85,10 @@
             channel.close();
             return;
         }
-        ClientConnection client = new ClientConnection(channel, this);
+        StrictServerCodec codec = new StrictServerCodec();
+        ClientConnection client = new ClientConnection(channel, codec, this);
         clients.add(client);
-        channel.pipeline().addLast(new StrictServerCodec(), client);
+        channel.pipeline().addLast(codec, client);
     }
 
     private boolean closeOldestIdle() {
@@ -123,12 +124,13 @@
         whenEmpty = whenDone;
         // Not closed: with an inherited socket the JDK would end the standard streams, and with them the log.
         listening.config().setAutoRead(false);
-        loop.schedule(this::closeIdle, idleMs, TimeUnit.MILLISECONDS);
+        loop.schedule(this::shutDownResting, idleMs, TimeUnit.MILLISECONDS);
         tellIfEmpty();
     }
 
-    private void closeIdle() {
-        new ArrayList<>(clients).stream().filter(ClientConnection::isIdle)
+    /** What has begun to come is waited for, and its answer ends the connection. */
+    private void shutDownResting() {
+        new ArrayList<>(clients).stream().filter(ClientConnection::isResting)
                 .forEach(ClientConnection::shutDown);
     }
 
@@ -143,7 +145,7 @@
         whenEmpty = whenDone;
         loop.schedule(() -> listening.close().addListener(done -> {
             closed = true;
-            closeIdle();
+            shutDownResting();
             tellIfEmpty();
         }), ARRIVING_MS, TimeUnit.MILLISECONDS);
     }
--- a/node/src/main/java/kitemux/node/StrictServerCodec.java
+++ b/node/src/main/java/kitemux/node/StrictServerCodec.java
@@ -1,5 +1,9 @@
 package kitemux.node;
 
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.CombinedChannelDuplexHandler;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -7,6 +11,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.LastHttpContent;
 
 /**
  * HTTP as a node speaks it to clients. A request whose end could be read in two ways is none: Netty drops the
@@ -20,6 +25,11 @@
         super(new Decoder(), new HttpResponseEncoder());
     }
 
+    /** Whether a part of a message has come and its end has not. */
+    boolean isAmidMessage() {
+        return ((Decoder) inboundHandler()).isAmidMessage();
+    }
+
     /** Whether a body in chunks is coded in that one way only, which is all that a node can pass on. */
     static boolean isPlain(HttpMessage message) {
         return message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).stream()
@@ -27,10 +37,27 @@
     }
 
     private static final class Decoder extends HttpRequestDecoder {
+        private boolean begun;
+
         Decoder() {
             super(new HttpDecoderConfig().setMaxChunkSize(Flow.MOST_PART).setMaxInitialLineLength(MOST_LINE));
         }
 
+        @Override
+        protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
+            int before = in.readableBytes();
+            super.decode(context, in, out);
+            if (!out.isEmpty()) {
+                begun = !(out.get(out.size() - 1) instanceof LastHttpContent);
+            } else {
+                begun |= in.readableBytes() < before;
+            }
+        }
+
+        boolean isAmidMessage() {
+            return begun || actualReadableBytes() > 0;
+        }
+
         @Override
         protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
             throw new IllegalArgumentException("a length and chunks");
--- a/node/src/test/java/kitemux/node/DiscoveryTest.java
+++ b/node/src/test/java/kitemux/node/DiscoveryTest.java
@@ -58,6 +58,24 @@
         }
     }
 
+    @Test
+    void aWatchThatIsResetAmidALineIsAskedForThatLineAgain() throws Exception {
+        try (Site site = Site.quiet()) {
+            BlockingQueue<String> told = new LinkedBlockingQueue<>();
+            Discovery discovery = watch(site, Discovery.Patience.USUAL, told);
+            FarServer.Peer peer = FarServer.next(site.discovery.peers);
+            String line = Site.list(42, false, ENTRY) + "\n";
+            peer.write(Site.chunk(line.substring(0, 30)));
+            peer.reset();
+            assertEquals("failed", FarServer.next(told));
+            site.loop.execute(discovery::subscribe);
+            FarServer.next(site.discovery.requests);
+            assertEquals("/discovery/hosts?watch=1&after=41", FarServer.next(site.discovery.requests).path());
+            FarServer.next(site.discovery.peers).write(Site.chunk(line));
+            assertEquals("42 changes 1", FarServer.next(told));
+        }
+    }
+
     @Test
     void aBeatAsTheFirstWordSaysThatNothingHasChanged() throws Exception {
         try (Site site = Site.quiet()) {
