Forget how long clients waited once their class has new rules

Found by reading what a new file may leave behind. How long the clients of a class wait at their first try is learned, and a repeat that has another time left is taken to be as old as its time lacks to the deadline. Where a class came again with other rules it went on with what was learned by the old ones: a repeat with just what every first try has now could count as late, and be refused at once.

What is known of a class's work stays, what is known of its clients' patience goes. RetuningTest.howLongClientsWaited...: refused on the code before.

--- a/node/src/main/java/kitemux/ServiceQBalancer.java
+++ b/node/src/main/java/kitemux/ServiceQBalancer.java
@@ -318,7 +318,10 @@
         sweepUs = Math.max(MIN_SWEEP_US, 2 * set.tickUs);
         leastAimUs = set.classes.stream().filter(c -> c.worth() > 0)
                 .mapToLong(RequestClass::aimUs).min().orElse(0);
+        int before = usual.size();
         forEachClass(usual, Usual::new);
+        // What is known of the work stays; how long clients wait is a part of the rules that have changed.
+        usual.subList(before, usual.size()).forEach(known -> known.firstLeftUs = 0);
         byId.values().forEach(server -> forEachClass(server.byClass, Health::new));
     }
 
--- a/node/src/test/java/kitemux/RetuningTest.java
+++ b/node/src/test/java/kitemux/RetuningTest.java
@@ -37,6 +37,19 @@
         assertEquals(List.of(after), node.failed);
     }
 
+    @Test
+    void howLongClientsWaitedByTheOldRulesSaysNothingOfTheNewOnes() {
+        Node node = new Node().with(1);
+        while (node.last(node.ask(Node.UNSAFE)) != null) {
+            node.advance(1);
+        }
+        node.askFor(null, Node.SAFE, 600_000, false);
+        node.balancer.onSettings(node.now, withNew(Repeat.UNSAFE));
+        node.askFor(null, NEW, 300_000, false);
+        long again = node.askFor(null, NEW, 300_000, true);
+        assertTrue(!node.refused.contains(again), "it has what every try has: it is not late");
+    }
+
     @Test
     void openRequestsKeepTheirAttempts() {
         Node node = new Node().with(6);
