Begin attempts behind all that a turn of the loop has read, and none for a client that has left

While the node accepted nothing, clients connected, asked and left; once it accepted, their requests were read and sent on before their ends, which stood right behind, were read.

A client's connection is now read until nothing is left in one turn, and an attempt begins as a task of the loop behind the reading: by then whoever has left is known, also where the word of it is still to come (ClientConnection.tellIfLeft), and a server that drains is too. Not taken: looking at the connection only when a request is read, as further attempts would then still cross the end.

OwedAtEndTest.nothingIsSentForAClientWhoseRequestAndEnd... and nothingIsPassedOnForAClient..., with the loop held while both ends come: both failed on the code before.

--- a/node/src/main/java/kitemux/node/AttemptLife.java
+++ b/node/src/main/java/kitemux/node/AttemptLife.java
@@ -105,6 +105,9 @@
     }
 
     void begin() {
+        if (over) {
+            return;
+        }
         if (endsUs() <= sentAtUs || !of.admits(number)) {
             ended(Result.MOOT, NO_BODY);
             return;
@@ -125,6 +128,9 @@
     }
 
     private void awaitEnd() {
+        if (expiry != null) {
+            expiry.cancel(false);
+        }
         expiry = means.loop().schedule(this::expire, endsUs() - means.clock().nowUs(), TimeUnit.MICROSECONDS);
     }
 
--- a/node/src/main/java/kitemux/node/ClientConnection.java
+++ b/node/src/main/java/kitemux/node/ClientConnection.java
@@ -165,6 +165,15 @@
         }
     }
 
+    /** Tells that the client has left, once, if its end has been read: the word of that comes a little later. */
+    void tellIfLeft() {
+        OpenRequest open = held;
+        if (!channel.isActive() && open != null) {
+            held = null;
+            open.left();
+        }
+    }
+
     /** What is told if the client leaves. */
     void hold(OpenRequest request) {
         held = request;
@@ -495,9 +504,7 @@
         if (lingering != null) {
             lingering.cancel(false);
         }
-        if (held != null) {
-            held.left();
-        }
+        tellIfLeft();
         owner.closed(this);
     }
 
--- a/node/src/main/java/kitemux/node/ClientServer.java
+++ b/node/src/main/java/kitemux/node/ClientServer.java
@@ -59,7 +59,8 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_SNDBUF, Flow.SYSTEM_BUFFER)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Flow.WATER_MARK)
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, Flow.parts())
+                // Until nothing is left to read: a client's end may stand right behind its request.
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, Flow.parts().respectMaybeMoreData(false))
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
--- a/node/src/main/java/kitemux/node/Flow.java
+++ b/node/src/main/java/kitemux/node/Flow.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
-import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 
 /**
@@ -33,7 +32,9 @@
     /** Reads on. */
     void goOn();
 
-    static RecvByteBufAllocator parts() {
-        return new AdaptiveRecvByteBufAllocator(512, 2_048, MOST_PART).maxMessagesPerRead(4);
+    static AdaptiveRecvByteBufAllocator parts() {
+        AdaptiveRecvByteBufAllocator parts = new AdaptiveRecvByteBufAllocator(512, 2_048, MOST_PART);
+        parts.maxMessagesPerRead(4);
+        return parts;
     }
 }
--- a/node/src/main/java/kitemux/node/RequestLife.java
+++ b/node/src/main/java/kitemux/node/RequestLife.java
@@ -148,7 +148,12 @@
         AttemptLife attempt = new AttemptLife(this, attempts.size(), serverId, beginByUs, untilUs, means);
         attempts.add(attempt);
         outstanding++;
-        attempt.begin();
+        // Behind all that has come by this turn of the loop: where that came late, the client may have left
+        // since it asked, or the server been told to drain.
+        means.loop().execute(() -> {
+            client.tellIfLeft();
+            attempt.begin();
+        });
     }
 
     void cancel(int attempt) {
--- a/node/src/test/java/kitemux/node/OwedAtEndTest.java
+++ b/node/src/test/java/kitemux/node/OwedAtEndTest.java
@@ -6,6 +6,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -163,6 +164,50 @@
         }
     }
 
+    @Test
+    void nothingIsSentForAClientWhoseRequestAndEndAreReadInOneTurn() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+            // A connection to the server that is free: what is sent on it is written at once.
+            assertEquals(200, site.ask(Http.page("first")).status());
+            Socket open = site.connect();
+            Socket late = site.connect();
+            site.awaitLoop();
+            CountDownLatch release = site.holdLoop();
+            for (Socket client : List.of(open, late, site.connect())) {
+                Site.write(client, PAGE);
+                client.close();
+            }
+            release.countDown();
+            assertEquals(200, site.ask(Http.page("last")).status());
+            assertEquals("first", FarServer.next(server.requests).headers().get("x-txn"));
+            assertEquals("last", FarServer.next(server.requests).headers().get("x-txn"));
+        }
+    }
+
+    @Test
+    void nothingIsPassedOnForAClientWhoseEndIsReadInTheTurnOfTheFailure() throws Exception {
+        CountDownLatch reset = new CountDownLatch(1);
+        try (FarServer first = resetting(reset); FarServer second = FarServer.serving("x");
+                Site site = Site.quiet()) {
+            site.operated = true;
+            site.start(first);
+            Socket client = site.connect();
+            Site.write(client, PAGE);
+            FarServer.next(first.requests);
+            FarServer.next(site.discovery.peers).write(Site.chunk(
+                    Site.list(2, false, "s1=" + second.endpoint() + "=Ready") + "\n"));
+            site.awaitFigure("node_known_app_servers 2");
+            CountDownLatch release = site.holdLoop();
+            reset.countDown();
+            FarServer.next(first.peers);
+            client.close();
+            release.countDown();
+            site.awaitFigure("node_in_progress 0");
+            site.awaitLoop();
+            assertEquals(0, second.connections.get());
+        }
+    }
+
     @Test
     void anAnswerAndTheEndOfItsTimeInOneTurnGiveOneAnswer() throws Exception {
         CountDownLatch held = new CountDownLatch(1);
