--- a/node/src/main/java/kitemux/node/ClientConnection.java
+++ b/node/src/main/java/kitemux/node/ClientConnection.java
@@ -165,7 +165,7 @@
         }
     }
 
-    /** Tells that the client has left, once, if its end has been read: the word of that comes a little later. */
+    /** Tells that the client has left, once, if its end has been read; else that is told a little later. */
     void tellIfLeft() {
         OpenRequest open = held;
         if (!channel.isActive() && open != null) {
