--- a/node/src/main/java/kitemux/node/ClientConnection.java
+++ b/node/src/main/java/kitemux/node/ClientConnection.java
@@ -102,7 +102,7 @@
     private long came;
     private Upload upload;
     private boolean heldBack;
-    /** The end of the time in which what still comes is read and dropped; null until the node ends its side. */
+    /** The end of the time in which what still comes is dropped; null until the node ends its side. */
     private Future<?> lingering;
     /** The request that is open, as its owner knows it. */
     private OpenRequest held;
--- a/node/src/main/java/kitemux/node/Requests.java
+++ b/node/src/main/java/kitemux/node/Requests.java
@@ -87,7 +87,8 @@
     void send(long requestId, String serverId, long beginByUs, long untilUs) {
         RequestLife request = held.get(requestId);
         // Where the body flows, the module does not know yet by when the client wants its answer.
-        request.send(serverId, beginByUs, untilUs == 0 || request.request.upload() != null ? Long.MAX_VALUE : untilUs);
+        boolean known = untilUs != 0 && request.request.upload() == null;
+        request.send(serverId, beginByUs, known ? untilUs : Long.MAX_VALUE);
     }
 
     void cancel(long requestId, int attempt) {
--- a/node/src/main/java/kitemux/node/Tuning.java
+++ b/node/src/main/java/kitemux/node/Tuning.java
@@ -89,7 +89,7 @@
         return places;
     }
 
-    /** What the platform reckons with at a planned end: it knows the file as it is, and no rules before it. */
+    /** What the platform reckons with at a planned end: it knows the file as it is, not those before. */
     long longestDeadlineUs() {
         return current.values().stream().mapToLong(place -> known.get(place).deadlineUs()).max().orElse(0);
     }
--- a/node/src/test/java/kitemux/node/OwedAtEndTest.java
+++ b/node/src/test/java/kitemux/node/OwedAtEndTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-/** What is owed to a client whose request meets the end of its node, or that leaves: {@code docs/acceptance.md}. */
+/** What is owed where a request meets the end of its node, or a client leaves: {@code docs/acceptance.md}. */
 class OwedAtEndTest {
     private static final String ORDER = Http.order("t", "15000m");
     private static final String PAGE = Http.page("/api/p", "t", "15000m");
@@ -240,7 +240,8 @@
     void anAnswerOfNoToldLengthThatIsResetIsNeverWhole(boolean flows) throws Exception {
         CountDownLatch begun = new CountDownLatch(1);
         try (FarServer server = new FarServer((request, peer) -> {
-            peer.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nonly a part" + "a".repeat(flows ? 70_000 : 0));
+            peer.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nonly a part"
+                    + "a".repeat(flows ? 70_000 : 0));
             if (flows) {
                 await(begun);
             }
--- a/node/src/test/java/kitemux/node/Site.java
+++ b/node/src/test/java/kitemux/node/Site.java
@@ -168,7 +168,7 @@
         }
     }
 
-    /** Keeps the node's one loop from running until the latch is down: what comes meanwhile meets it at once. */
+    /** Keeps the node's one loop from running until the latch is down: it meets all that comes at once. */
     CountDownLatch holdLoop() throws InterruptedException {
         CountDownLatch held = new CountDownLatch(1);
         CountDownLatch release = new CountDownLatch(1);
