--- a/node/src/test/java/kitemux/ColdServerTest.java
+++ b/node/src/test/java/kitemux/ColdServerTest.java
@@ -3,19 +3,27 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import kitemux.Balancer.ListKind;
 import kitemux.Balancer.Result;
 import kitemux.Balancer.ServerEntry;
 import kitemux.Balancer.ServerState;
+import kitemux.Balancer.Settings;
 
 /** Rule 4: a node's part of a cold server's budget. */
 class ColdServerTest {
 
+    private static final int WARM = 19;
+    private static final int ASKED_A_SECOND = 300;
+
     private static ServerEntry started(String id, long atUs) {
         return new ServerEntry(id, 0, 0, ServerState.READY, 1, atUs);
     }
@@ -43,6 +51,70 @@
         assertTrue(toCold >= 1 && toCold <= 16, "sent to the cold server in two seconds: " + toCold);
     }
 
+    /** Nodes that know nothing of each other, some of which start together with the cold server. */
+    @ParameterizedTest
+    @CsvSource({"20, 0", "30, 0", "30, 30"})
+    void whatAllNodesTogetherSendAColdServerStaysInItsBudget(int count, int fresh) {
+        Settings set = Node.settings();
+        set.nodes = count;
+        List<Node> nodes = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            Settings own = Node.settings();
+            own.nodes = count;
+            own.me = i;
+            nodes.add(new Node(own, i).with(WARM));
+        }
+        SplittableRandom chance = new SplittableRandom(5);
+        serve(nodes, 4_000, chance);
+        long startedAt = nodes.get(0).now;
+        List<ServerEntry> all = new ArrayList<>(List.of(started("cold", startedAt)));
+        for (int i = 0; i < WARM; i++) {
+            all.add(Node.server("s" + i));
+        }
+        for (int i = 0; i < count; i++) {
+            if (i < fresh) {
+                Node restarted = new Node(nodes.get(i).settings, 100 + i);
+                restarted.now = startedAt;
+                nodes.set(i, restarted);
+            }
+            nodes.get(i).list(i < fresh ? ListKind.CACHED : ListKind.FULL, all);
+        }
+        serve(nodes, 8_000, chance);
+        List<Long> sentAt = nodes.stream().flatMap(n -> n.sent.stream())
+                .filter(s -> s.server().equals("cold")).map(Node.Sent::atUs).sorted().toList();
+        // Every server can do just what it is asked on average: an even part of what all nodes ask.
+        double capacity = ASKED_A_SECOND / 1e6 / (WARM + 1);
+        for (int first = 0; first < sentAt.size(); first++) {
+            long from = sentAt.get(first);
+            double age = (double) (from - startedAt) / set.coldUs;
+            double budget = set.fallMultiple * (set.coldFrom + (1 - set.coldFrom) * age) * capacity * set.fallUs;
+            long sent = sentAt.stream().filter(at -> at >= from && at < from + set.fallUs).count();
+            assertTrue(sent <= budget + 2 * Math.sqrt(budget) + 2,
+                    sent + " from " + (from - startedAt) + " us on, the budget is " + budget);
+        }
+        assertTrue(sentAt.size() > 20, "sent to the cold server: " + sentAt.size());
+    }
+
+    /** Asks the nodes at random times; each answer comes 20 ms later. */
+    private static void serve(List<Node> nodes, int rounds, SplittableRandom chance) {
+        ArrayDeque<Runnable> due = new ArrayDeque<>();
+        for (int round = 0; round < rounds; round++) {
+            nodes.forEach(node -> node.advance(1_000));
+            while (due.size() > 20 * ASKED_A_SECOND / 1_000) {
+                due.poll().run();
+            }
+            if (chance.nextInt(1_000) < ASKED_A_SECOND) {
+                Node node = nodes.get(chance.nextInt(nodes.size()));
+                long id = node.ask(Node.SAFE);
+                due.add(() -> {
+                    if (node.last(id) != null && !node.refused.contains(id)) {
+                        node.answer(id, Result.OK, 0);
+                    }
+                });
+            }
+        }
+    }
+
     @Test
     void aNodeThatHasJustStartedDoesNotFloodAColdServer() {
         Node node = new Node();
--- a/node/src/test/java/kitemux/SilenceTest.java
+++ b/node/src/test/java/kitemux/SilenceTest.java
@@ -66,6 +66,19 @@
         assertTrue(node.logged.isEmpty(), node.logged.toString());
     }
 
+    @Test
+    void aClientThatLeavesEndsBothCopiesOfItsRequest() {
+        Node node = used(Node.settings(), 4);
+        long id = node.ask(Node.SAFE);
+        node.advance(10 * USUAL_US);
+        assertEquals(2, node.attempts(id));
+        node.balancer.onClientGone(node.now, id);
+        assertEquals(List.of(id + "/0", id + "/1"), node.cancelled);
+        node.balancer.onOutcome(node.now, new Outcome(id, 0, Result.RESET, 10 * USUAL_US, true, null));
+        node.advance(10 * USUAL_US);
+        assertEquals(2, node.attempts(id), "nothing more is sent");
+    }
+
     @Test
     void aRepeatableRequestThatMeetsSilencePassesToASecondServerInTime() {
         Node node = used(Node.settings(), 4);
--- a/node/src/test/java/kitemux/node/ServerPoolTest.java
+++ b/node/src/test/java/kitemux/node/ServerPoolTest.java
@@ -8,6 +8,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -147,6 +148,23 @@
         }
     }
 
+    @Test
+    void wordOfADrainInTheTurnOfTheChoiceIsHeeded() throws Exception {
+        try (FarServer drains = FarServer.serving("drains"); FarServer other = FarServer.serving("other");
+                Site site = Site.quiet().start(drains)) {
+            FarServer.Peer watch = FarServer.next(site.discovery.peers);
+            Socket client = site.connect();
+            assertEquals("drains", Site.ask(client, Http.page("/api/p", "a", "15000m")).body());
+            CountDownLatch release = site.holdLoop();
+            Site.write(client, Http.page("/api/p", "b", "15000m"));
+            watch.write(Site.chunk(Site.list(2, false, "s0=" + drains.endpoint() + "=Terminating",
+                    "s1=" + other.endpoint() + "=Ready") + "\n"));
+            release.countDown();
+            assertEquals("other", Http.read(client.getInputStream()).body());
+            assertEquals(1, drains.requests.size());
+        }
+    }
+
     @Test
     void aChangedEndpointMovesNewConnections() throws Exception {
         try (FarServer before = FarServer.serving("old"); FarServer after = FarServer.serving("new");
