--- a/node/src/test/java/kitemux/node/OwedAtEndTest.java
+++ b/node/src/test/java/kitemux/node/OwedAtEndTest.java
@@ -140,25 +140,35 @@
         }
     }
 
+    /** A client whose request is out at the one server that there is. */
+    private static Socket asking(Site site, FarServer server) throws Exception {
+        site.operated = true;
+        site.start(server);
+        Socket client = site.connect();
+        Site.write(client, PAGE);
+        FarServer.next(server.requests);
+        return client;
+    }
+
+    private static void join(Site site, FarServer second) throws Exception {
+        FarServer.next(site.discovery.peers).write(Site.chunk(
+                Site.list(2, false, "s1=" + second.endpoint() + "=Ready") + "\n"));
+        site.awaitFigure("node_known_app_servers 2");
+    }
+
     @Test
     void nothingIsSentForAClientThatLeavesBetweenAttempts() throws Exception {
         CountDownLatch reset = new CountDownLatch(1);
         try (FarServer first = resetting(reset); FarServer second = FarServer.serving("x");
                 Site site = Site.quiet()) {
-            site.operated = true;
-            site.start(first);
-            Socket client = site.connect();
-            Site.write(client, PAGE);
-            FarServer.next(first.requests);
+            Socket client = asking(site, first);
             reset.countDown();
             FarServer.next(first.peers);
             // Its one server has failed it: it waits for another.
             site.awaitLoop();
             client.close();
             site.awaitFigure("node_in_progress 0");
-            FarServer.next(site.discovery.peers).write(Site.chunk(
-                    Site.list(2, false, "s1=" + second.endpoint() + "=Ready") + "\n"));
-            site.awaitFigure("node_known_app_servers 2");
+            join(site, second);
             site.awaitLoop();
             assertTrue(second.requests.isEmpty());
         }
@@ -189,14 +199,8 @@
         CountDownLatch reset = new CountDownLatch(1);
         try (FarServer first = resetting(reset); FarServer second = FarServer.serving("x");
                 Site site = Site.quiet()) {
-            site.operated = true;
-            site.start(first);
-            Socket client = site.connect();
-            Site.write(client, PAGE);
-            FarServer.next(first.requests);
-            FarServer.next(site.discovery.peers).write(Site.chunk(
-                    Site.list(2, false, "s1=" + second.endpoint() + "=Ready") + "\n"));
-            site.awaitFigure("node_known_app_servers 2");
+            Socket client = asking(site, first);
+            join(site, second);
             CountDownLatch release = site.holdLoop();
             reset.countDown();
             FarServer.next(first.peers);
