Break an answer of no told length off soon behind its time where it stands still

An answer without a length is passed on after 50 ms; from then on only ten seconds without a byte ended it, whatever time its client had: no final answer within half a second of its time.

Such an answer of which no more than 64 KiB has come, whose last byte is owed in time, is now given up 0.4 s behind its time, or later once its server has given nothing for so long; the client sees it broken off.

OwedAtEndTest.anAnswerOfNoToldLengthThatStands...: on the code before it ended behind an answer that was due 3.8 s later.

--- a/node/src/main/java/kitemux/node/AttemptLife.java
+++ b/node/src/main/java/kitemux/node/AttemptLife.java
@@ -20,6 +20,11 @@
     private static final byte[] NO_BODY = {};
     /** A server that neither takes nor gives anything for so long, amid something that flows, is gone. */
     private static final long MOST_SILENCE_US = 10_000_000;
+    /**
+     * The same for an answer of no told length once its time is up, as long as it may be one whose last byte
+     * is owed by then: a client takes an answer for lost that comes half a second after its time.
+     */
+    private static final long MOST_LATE_SILENCE_US = 400_000;
 
     private final RequestLife of;
     private final int number;
@@ -35,6 +40,8 @@
     private long movedAtUs;
     private long passed;
     private Flow answer;
+    /** How much of the answer has come. */
+    private long given;
     private boolean heldBack;
     private Future<?> expiry;
     private double[] report;
@@ -131,7 +138,24 @@
         if (expiry != null) {
             expiry.cancel(false);
         }
-        expiry = means.loop().schedule(this::expire, endsUs() - means.clock().nowUs(), TimeUnit.MICROSECONDS);
+        expireAt(endsUs(), this::expire);
+    }
+
+    private void expireAt(long atUs, Runnable expiring) {
+        expiry = means.loop().schedule(expiring, atUs - means.clock().nowUs(), TimeUnit.MICROSECONDS);
+    }
+
+    private void expireIfSilent() {
+        if (given > MOST_GATHERED) {
+            // One whose first bytes were owed in time, and its rest for as long as the server gives it.
+            return;
+        }
+        long nowUs = means.clock().nowUs();
+        if (!heldBack && nowUs - movedAtUs >= MOST_LATE_SILENCE_US) {
+            expire();
+        } else {
+            expireAt((heldBack ? nowUs : movedAtUs) + MOST_LATE_SILENCE_US, this::expireIfSilent);
+        }
     }
 
     /** Whether the server has neither taken nor given anything for too long. */
@@ -150,6 +174,9 @@
         means.flowing().add(this);
         if (expiry != null) {
             expiry.cancel(false);
+            if (length < 0) {
+                expireAt(endsUs() + MOST_LATE_SILENCE_US, this::expireIfSilent);
+            }
         }
         if (of.beginAnswer(length, this)) {
             means.module().tell(of, module -> module.onFirstByte(means.clock().nowUs(), of.id, number));
@@ -159,6 +186,7 @@
     @Override
     public void part(ByteBuf part) {
         movedAtUs = means.clock().nowUs();
+        given += part.readableBytes();
         ClientConnection client = of.takes(this);
         if (client != null) {
             client.continueAnswer(part);
--- a/node/src/test/java/kitemux/node/OwedAtEndTest.java
+++ b/node/src/test/java/kitemux/node/OwedAtEndTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -283,6 +284,24 @@
         }
     }
 
+    @Test
+    void anAnswerOfNoToldLengthThatStandsStillIsBrokenOffSoonBehindItsTime() throws Exception {
+        try (FarServer server = new FarServer((request, peer) -> {
+            if ("stands".equals(request.headers().get("x-txn"))) {
+                peer.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nstill\r\n");
+            }
+        }); Site site = Site.quiet().start(server)) {
+            Socket other = site.connect();
+            Site.write(other, Http.page("/api/p", "silent", "4000m"));
+            FarServer.next(server.requests);
+            Socket client = site.connect();
+            Site.write(client, Http.page("/api/p", "stands", "200m"));
+            Http.Message head = Http.readHead(client.getInputStream());
+            assertThrows(IOException.class, () -> Http.readBody(client.getInputStream(), head));
+            assertEquals(0, other.getInputStream().available(), "whose time is up long after");
+        }
+    }
+
     @Test
     void halfALineFromAServerThatIsBeingLeftHurtsNobody() throws Exception {
         try (FarServer server = new FarServer((request, peer) -> {
