End the rehearsal's connections without a trace in the log

The rehearsal ends amid what its clients ask, whose connections are reset; nothing took the word of that, and the first use of the JDK's logging cost the loop time just as the first clients came. Both far sides now close.

--- a/node/src/main/java/kitemux/node/Rehearsal.java
+++ b/node/src/main/java/kitemux/node/Rehearsal.java
@@ -99,8 +99,16 @@
         };
     }
 
+    /** A far side of the rehearsal, whose connections break as the node closes amid what it is asked. */
+    private abstract static class Far<T> extends SimpleChannelInboundHandler<T> {
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+
     /** Answers all that it is asked. */
-    private static final class FarServer extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private static final class FarServer extends Far<FullHttpRequest> {
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
             FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
@@ -111,7 +119,7 @@
     }
 
     /** Asks for each class in turn, the next once the last is answered, until the node closes. */
-    private final class FarClient extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final class FarClient extends Far<FullHttpResponse> {
         @Override
         public void channelActive(ChannelHandlerContext context) {
             ask(context);
