--- a/node/src/test/java/kitemux/ColdServerTest.java
+++ b/node/src/test/java/kitemux/ColdServerTest.java
@@ -87,7 +87,8 @@
         for (int first = 0; first < sentAt.size(); first++) {
             long from = sentAt.get(first);
             double age = (double) (from - startedAt) / set.coldUs;
-            double budget = set.fallMultiple * (set.coldFrom + (1 - set.coldFrom) * age) * capacity * set.fallUs;
+            double share = set.coldFrom + (1 - set.coldFrom) * age;
+            double budget = set.fallMultiple * share * capacity * set.fallUs;
             long sent = sentAt.stream().filter(at -> at >= from && at < from + set.fallUs).count();
             assertTrue(sent <= budget + 2 * Math.sqrt(budget) + 2,
                     sent + " from " + (from - startedAt) + " us on, the budget is " + budget);
