Count a request's time from when it may have come, and settle what is due before new attempts

What must hold after a stall of any length. A node whose loop stood still read requests that had waited in its sockets, gave each the whole time that its client had told, and told servers the same: the answer came late by the length of the stall. New attempts began ahead of timers that were due, and what servers held at a SIGTERM had no answer by SIGKILL where its client would have waited longer.

LoopLag tells since when what is read may have been waiting: since the poll before, where the loop was busy for 20 ms or more since then; a new connection's first request also since its accept. The module is told how long a request may have waited (Request.waitedUs): deadline and aim run from its arrival, so one that is too old is refused unsent. Requests sent ahead have their time from their reading on, not from their turn on. Attempts begin as timers, behind all others that are due. 0.2 s ahead of the kill a node that ends answers what still is open: 503 where nothing was sent, else 502.

--- a/node/src/main/java/kitemux/Balancer.java
+++ b/node/src/main/java/kitemux/Balancer.java
@@ -126,13 +126,19 @@
      * @param id unique among the requests held
      * @param classIndex index into {@link Settings#classes}
      * @param tenant index into {@link Settings#tenants}, or -1
-     * @param leftUs time until the client gives up on this try
+     * @param leftUs time from its arrival until the client gives up on this try
      * @param workUs rough expected work on a standard core; 0 if not known
      * @param retry true if the client is known to repeat itself
      * @param key what the request is about, or null
+     * @param waitedUs how long ago it may have arrived, where whoever reads it was held up
      */
     record Request(long id, int classIndex, int tenant, long leftUs, long workUs, boolean retry,
-            String key) { }
+            String key, long waitedUs) {
+        /** A request that is told as it arrives. */
+        public Request(long id, int classIndex, int tenant, long leftUs, long workUs, boolean retry, String key) {
+            this(id, classIndex, tenant, leftUs, workUs, retry, key, 0);
+        }
+    }
 
     /** How an attempt or a probe ended. */
     enum Result {
--- a/node/src/main/java/kitemux/ServiceQBalancer.java
+++ b/node/src/main/java/kitemux/ServiceQBalancer.java
@@ -269,8 +269,8 @@
             this.request = request;
             cls = set.classes.get(request.classIndex());
             aimUs = Math.min(cls.deadlineUs(), cls.aimUs() + (long) (cls.aimStretch() * request.workUs()));
-            arrivedAt = now;
-            deadlineAt = now + Math.max(0, request.leftUs());
+            arrivedAt = now - request.waitedUs();
+            deadlineAt = arrivedAt + Math.max(0, request.leftUs());
             // The aim runs from the client's first try. A repeat with other than a first try's time left has
             // the rest of the client's whole time, which tells when that was; else it is taken for new.
             known.firstLeftUs = request.retry() && known.firstLeftUs > 0 ? known.firstLeftUs
@@ -278,7 +278,7 @@
             boolean tells = request.retry() && Math.abs(request.leftUs() - known.firstLeftUs)
                     > FIRST_LEFT_SLACK * cls.deadlineUs();
             long sinceUs = tells ? Math.max(0, cls.deadlineUs() - request.leftUs()) : 0;
-            aimAt = Math.min(deadlineAt, now + aimUs - sinceUs);
+            aimAt = Math.min(deadlineAt, arrivedAt + aimUs - sinceUs);
             servers = new Server[set.maxAttempts];
             sentAt = new long[set.maxAttempts];
             results = new Result[set.maxAttempts];
--- a/node/src/main/java/kitemux/node/ClientConnection.java
+++ b/node/src/main/java/kitemux/node/ClientConnection.java
@@ -28,6 +28,8 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 
+import kitemux.loop.LoopLag;
+
 /**
  * A client's connection: one request at a time, further ones wait their turn. It is long because reading,
  * answering and closing share one state, which would otherwise only be passed about.
@@ -41,6 +43,9 @@
 
     /** Whoever has accepted the connection. */
     interface Owner {
+        /** How far what is read is behind what has come. */
+        LoopLag lag();
+
         /** What requests are read by now. */
         RequestReader reader();
 
@@ -83,6 +88,11 @@
     private final SentAhead waiting = new SentAhead();
     private final long connectedAtNanos = System.nanoTime();
     private long activeAtNanos = connectedAtNanos;
+    /** The turn of the loop in which it was accepted, and when it may have been opened. */
+    private final long acceptedInTurn;
+    private final long openedAtNanos;
+    /** When, at the earliest, the part came that is taken now. */
+    private long partArrivedAtNanos;
     /** Whether it has asked a request that could be read: it is a client, not just any peer. */
     private boolean proven;
     private boolean keepAlive = true;
@@ -115,6 +125,8 @@
         this.channel = channel;
         this.codec = codec;
         this.owner = owner;
+        acceptedInTurn = owner.lag().turn();
+        openedAtNanos = owner.lag().earliestArrivalNanos();
     }
 
     /** Whether it is open and nothing is owed on it; one that is being closed gives no room by it again. */
@@ -186,10 +198,11 @@
         if (!keepAlive && whole) {
             return;
         }
+        partArrivedAtNanos = earliestArrivalNanos();
         if (busy && whole) {
             // Sent ahead of the answer. Read on as long as it may wait here: that its client has left is
             // only heard of by reading.
-            waiting.add(part);
+            waiting.add(part, partArrivedAtNanos);
             if (waiting.isFull()) {
                 channel.config().setAutoRead(false);
             }
@@ -198,6 +211,13 @@
         take(part);
     }
 
+    /** What is read in the first turn after the accept may have come with the connection. */
+    private long earliestArrivalNanos() {
+        long arrivalNanos = owner.lag().earliestArrivalNanos();
+        boolean cameWithConnection = owner.lag().turn() <= acceptedInTurn + 1;
+        return cameWithConnection ? Math.min(arrivalNanos, openedAtNanos) : arrivalNanos;
+    }
+
     private void take(HttpObject part) {
         activeAtNanos = proven || head != null ? System.nanoTime() : activeAtNanos;
         if (part.decoderResult().isFailure()) {
@@ -316,7 +336,7 @@
     private void ask(byte[] body) {
         proven |= whole;
         try {
-            owner.asked(this, new ClientRequest(head, body, upload));
+            owner.asked(this, new ClientRequest(head, body, upload, partArrivedAtNanos));
         } catch (RuntimeException e) {
             // A defect met by one request must not leave it without an answer.
             Log.error("request " + head.uri(), e);
@@ -471,11 +491,12 @@
 
     private void serveNext() {
         while (!waiting.isEmpty() && !(busy && whole)) {
-            HttpObject part = waiting.poll();
+            SentAhead.Part next = waiting.poll();
+            partArrivedAtNanos = next.arrivedAtNanos();
             try {
-                take(part);
+                take(next.part());
             } finally {
-                ReferenceCountUtil.release(part);
+                ReferenceCountUtil.release(next.part());
             }
         }
         if (!waiting.isFull() && !heldBack) {
--- a/node/src/main/java/kitemux/node/ClientRequest.java
+++ b/node/src/main/java/kitemux/node/ClientRequest.java
@@ -8,8 +8,9 @@
  * @param head all but its body
  * @param body passed on unchanged; empty where the body flows
  * @param upload the body where it is too large to be gathered, else null
+ * @param arrivedAtNanos when, at the earliest, its last byte that is known here came
  */
-record ClientRequest(Head head, byte[] body, Upload upload) {
+record ClientRequest(Head head, byte[] body, Upload upload, long arrivedAtNanos) {
     /**
      * What stands before the body.
      *
--- a/node/src/main/java/kitemux/node/ClientServer.java
+++ b/node/src/main/java/kitemux/node/ClientServer.java
@@ -12,11 +12,13 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseStatus;
 
+import kitemux.loop.LoopLag;
+import kitemux.loop.MeasuredEventLoop;
+
 /** The side that clients see: connections, what they ask, and the answers they get. */
 final class ClientServer implements ClientConnection.Owner {
     /** What becomes of requests. */
@@ -28,7 +30,7 @@
     /** After SIGTERM connections arrive for 0.4 s more; a tenth is room for those under way. */
     private static final long ARRIVING_MS = 500;
 
-    private final EventLoopGroup loop;
+    private final MeasuredEventLoop loop;
     private RequestReader reader;
     private final Sockets sockets;
     private final Handler handler;
@@ -41,7 +43,7 @@
     private boolean closed;
     private Runnable whenEmpty = () -> { };
 
-    ClientServer(EventLoopGroup loop, RequestReader reader, Sockets sockets, Handler handler) {
+    ClientServer(MeasuredEventLoop loop, RequestReader reader, Sockets sockets, Handler handler) {
         this.loop = loop;
         this.reader = reader;
         this.sockets = sockets;
@@ -164,6 +166,11 @@
 
     // ---------------------------------------------------------------- what connections ask of their owner
 
+    @Override
+    public LoopLag lag() {
+        return loop.lag();
+    }
+
     @Override
     public RequestReader reader() {
         return reader;
--- a/node/src/main/java/kitemux/node/Clock.java
+++ b/node/src/main/java/kitemux/node/Clock.java
@@ -12,6 +12,11 @@
     private final long originNanos = System.nanoTime();
 
     long nowUs() {
-        return originUs + (System.nanoTime() - originNanos) / 1_000;
+        return atUs(System.nanoTime());
+    }
+
+    /** The same for a time of {@link System#nanoTime}. */
+    long atUs(long nanoTime) {
+        return originUs + (nanoTime - originNanos) / 1_000;
     }
 }
--- a/node/src/main/java/kitemux/node/Node.java
+++ b/node/src/main/java/kitemux/node/Node.java
@@ -150,13 +150,14 @@
         loop.execute(() -> {
             serves = false;
             Log.line("draining, " + requests.open() + " requests open");
-            if (!config.operators().inherits()) {
-                clients.drain(whenEmpty);
-                return;
-            }
             long leftUs = Math.min(MOST_DEADLINE_US, tuning.longestDeadlineUs()) + KILL_US - ROOM_US;
             requests.endAt(clock.nowUs() + leftUs);
-            clients.handOver(Math.max(0, leftUs - LAST_ASKED_US) / 1_000, whenEmpty);
+            loop.schedule(requests::cutOff, leftUs, TimeUnit.MICROSECONDS);
+            if (config.operators().inherits()) {
+                clients.handOver(Math.max(0, leftUs - LAST_ASKED_US) / 1_000, whenEmpty);
+            } else {
+                clients.drain(whenEmpty);
+            }
         });
     }
 
--- a/node/src/main/java/kitemux/node/RequestLife.java
+++ b/node/src/main/java/kitemux/node/RequestLife.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 
@@ -57,6 +58,11 @@
         return className;
     }
 
+    /** When it arrived, at the earliest: before it was read, where the loop was held up. */
+    long arrivedAtUs() {
+        return means.clock().atUs(request.arrivedAtNanos());
+    }
+
     long deadlineUs() {
         return deadlineUs;
     }
@@ -108,8 +114,9 @@
         ClientRequest.Head head = request.head();
         means.module().tell(this, module -> {
             long nowUs = means.clock().nowUs();
+            long waitedUs = Math.max(0, nowUs - arrivedAtUs());
             module.onRequest(nowUs, new Request(id, head.classIndex(), head.tenant(),
-                    Math.max(0, wantedUs - nowUs), head.workUs(), head.retry(), head.key()));
+                    Math.max(0, wantedUs - nowUs + waitedUs), head.workUs(), head.retry(), head.key(), waitedUs));
         });
     }
 
@@ -148,12 +155,12 @@
         AttemptLife attempt = new AttemptLife(this, attempts.size(), serverId, beginByUs, untilUs, means);
         attempts.add(attempt);
         outstanding++;
-        // Behind all that has come by this turn of the loop: where that came late, the client may have left
-        // since it asked, or the server been told to drain.
-        means.loop().execute(() -> {
+        // Behind all that has come by this turn of the loop, and behind all timers that are due: where those
+        // came late, the client may have left since it asked, the server been told to drain, or time run out.
+        means.loop().schedule(() -> {
             client.tellIfLeft();
             attempt.begin();
-        });
+        }, 0, TimeUnit.NANOSECONDS);
     }
 
     void cancel(int attempt) {
@@ -218,6 +225,15 @@
         forgetIfOver();
     }
 
+    /** Answers it without waiting any longer, as the process ends; an answer that flows goes on. */
+    void cutOff() {
+        if (!ended && answering == null) {
+            answer(attempts.isEmpty() ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.BAD_GATEWAY,
+                    NO_BODY, 0);
+            means.module().tell(module -> module.onClientGone(means.clock().nowUs(), id));
+        }
+    }
+
     private void end() {
         if (!ended) {
             keeper.ended(this);
--- a/node/src/main/java/kitemux/node/Requests.java
+++ b/node/src/main/java/kitemux/node/Requests.java
@@ -32,11 +32,16 @@
         return open;
     }
 
-    /** By then all that is held is to have its answer. */
+    /** What comes from now on is to have its answer by then, when {@link #cutOff} is due. */
     void endAt(long atUs) {
         endsAtUs = atUs;
     }
 
+    /** Answers whatever has no answer yet: the process will be killed soon. */
+    void cutOff() {
+        List.copyOf(held.values()).forEach(RequestLife::cutOff);
+    }
+
     @Override
     public void asked(ClientConnection client, ClientRequest request) {
         Tuning now = tuning.get();
@@ -46,14 +51,15 @@
         client.hold(taken);
         held.put(taken.id, taken);
         taken.begin();
-        taken.ask(Math.min(endsAtUs, means.clock().nowUs() + head.leftUs()));
+        taken.ask(Math.min(endsAtUs, taken.arrivedAtUs() + head.leftUs()));
     }
 
     @Override
     public void cameWhole(RequestLife request) {
         if (!request.isEnded()) {
             open++;
-            request.wholeUntil(Math.min(endsAtUs, means.clock().nowUs() + request.request.head().leftUs()));
+            long wholeAtUs = request.request.upload() == null ? request.arrivedAtUs() : means.clock().nowUs();
+            request.wholeUntil(Math.min(endsAtUs, wholeAtUs + request.request.head().leftUs()));
         }
     }
 
--- a/node/src/main/java/kitemux/node/SentAhead.java
+++ b/node/src/main/java/kitemux/node/SentAhead.java
@@ -11,20 +11,23 @@
     /** What a part weighs beside its content: its head's fields, or the objects that hold it. */
     private static final int PART_BYTES = 512;
 
-    private final ArrayDeque<HttpObject> parts = new ArrayDeque<>();
+    /** A part of a request, and when it came at the earliest: its client's time runs while it waits here. */
+    record Part(HttpObject part, long arrivedAtNanos) { }
+
+    private final ArrayDeque<Part> parts = new ArrayDeque<>();
     private int bytes;
 
     /** Keeps a part, beside whoever has it now. */
-    void add(HttpObject part) {
-        parts.add(ReferenceCountUtil.retain(part));
+    void add(HttpObject part, long arrivedAtNanos) {
+        parts.add(new Part(ReferenceCountUtil.retain(part), arrivedAtNanos));
         bytes += weight(part);
     }
 
     /** The next part, to be released; null if there is none. */
-    HttpObject poll() {
-        HttpObject part = parts.poll();
-        bytes -= part == null ? 0 : weight(part);
-        return part;
+    Part poll() {
+        Part next = parts.poll();
+        bytes -= next == null ? 0 : weight(next.part());
+        return next;
     }
 
     boolean isEmpty() {
@@ -37,7 +40,7 @@
     }
 
     void release() {
-        parts.forEach(ReferenceCountUtil::release);
+        parts.forEach(waiting -> ReferenceCountUtil.release(waiting.part()));
         parts.clear();
         bytes = 0;
     }
--- a/node/src/test/java/kitemux/node/EndingTest.java
+++ b/node/src/test/java/kitemux/node/EndingTest.java
@@ -164,7 +164,7 @@
         SentAhead ahead = new SentAhead();
         int parts = 0;
         while (!ahead.isFull()) {
-            ahead.add(LastHttpContent.EMPTY_LAST_CONTENT);
+            ahead.add(LastHttpContent.EMPTY_LAST_CONTENT, 0);
             parts++;
         }
         assertTrue(parts <= 128, parts + " parts");
