Force the order of a time-out and a new attempt in its test

The first form of the test passed on the code before too: the server looked too late. Now the module's event holds the loop until whatever was written has come to the server. Seen to fail with attempts begun by execute, as the six other cases of StalledLoopTest were seen to fail with each part of the change taken out.

--- a/node/src/test/java/kitemux/node/StalledLoopTest.java
+++ b/node/src/test/java/kitemux/node/StalledLoopTest.java
@@ -1,18 +1,25 @@
 package kitemux.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.lang.reflect.Proxy;
 import java.net.Socket;
-import java.net.SocketTimeoutException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Function;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import kitemux.Balancer;
+import kitemux.Balancer.Outcome;
+import kitemux.Balancer.Result;
+
 /** What a node owes whose event loop has stood still while clients asked and servers hung. */
 class StalledLoopTest {
     private static final long STALL_MS = 300;
@@ -80,26 +87,26 @@
     }
 
     @Test
-    void anAttemptWhoseTimeRanOutIsGivenUpBeforeANewOneBegins() throws Exception {
+    void anAttemptWhoseTimeRanOutIsToldBeforeANewOneBegins() throws Exception {
         CountDownLatch never = new CountDownLatch(1);
-        FarServer.Peer[] hanging = new FarServer.Peer[1];
-        boolean[] givenUp = new boolean[1];
+        AtomicBoolean newOneWasFirst = new AtomicBoolean();
         try (FarServer server = new FarServer((request, peer) -> {
-            switch (request.headers().get("x-txn")) {
-                case "hangs" -> {
-                    hanging[0] = peer;
-                    await(never);
-                }
-                case "new" -> {
-                    givenUp[0] = hasEnded(hanging[0].socket());
-                    peer.write(Http.ok("x"));
-                }
-                default -> peer.write(Http.ok("x"));
+            if ("hangs".equals(request.headers().get("x-txn"))) {
+                await(never);
             }
-        }); Site site = Site.quiet().start(server)) {
+            peer.write(Http.ok("x"));
+        }); Site site = Site.quiet()) {
+            Function<Balancer.Actions, Balancer> module = site.module;
+            site.module = actions -> onTimeout(module.apply(actions), () -> {
+                // Whatever was written by now has come to the server.
+                stall(new CountDownLatch(1));
+                newOneWasFirst.set(server.requests.stream()
+                        .anyMatch(request -> "new".equals(request.headers().get("x-txn"))));
+            });
+            site.start(server);
             Socket first = site.connect();
             Socket second = site.connect();
-            Site.write(first, Http.page("/api/p", "hangs", "150m"));
+            Site.write(first, Http.order("hangs", "150m"));
             FarServer.next(server.requests);
             // A connection to the server that is free, so that the new attempt is written as it begins.
             assertEquals(200, Site.ask(second, Http.page("/api/p", "before", "15000m")).status());
@@ -108,10 +115,22 @@
             stall(release);
             assertEquals(200, Http.read(second.getInputStream()).status());
             never.countDown();
-            assertTrue(givenUp[0], "the new attempt came while the one that was out of time was still open");
+            assertFalse(newOneWasFirst.get());
         }
     }
 
+    /** The same module, which runs this as it is told that an attempt is out of time. */
+    private static Balancer onTimeout(Balancer module, Runnable then) {
+        return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(), new Class<?>[] {Balancer.class},
+                (proxy, method, arguments) -> {
+                    if (method.getName().equals("onOutcome")
+                            && ((Outcome) arguments[1]).result() == Result.TIMEOUT) {
+                        then.run();
+                    }
+                    return method.invoke(module, arguments);
+                });
+    }
+
     private static void await(CountDownLatch latch) throws IOException {
         try {
             assertTrue(latch.await(20, TimeUnit.SECONDS));
@@ -120,16 +139,6 @@
         }
     }
 
-    /** Whether the peer's end has come by now. */
-    private static boolean hasEnded(Socket socket) throws IOException {
-        socket.setSoTimeout(1);
-        try {
-            return socket.getInputStream().read() < 0;
-        } catch (SocketTimeoutException e) {
-            return false;
-        }
-    }
-
     @Test
     void aNodeThatEndsAnswersWhatServersHoldBeforeItIsKilled() throws Exception {
         CountDownLatch never = new CountDownLatch(1);
