Read long lists entry by entry, and take up to 8 MB: 19,000 servers were never heard

Found by the new LargeListTest, which tells a node with the heap that it has in service (64 MB) whole lists of 1,024, 5,000 and 19,000 servers, all fields as discovery writes them, and asks before and after. At 19,000 the line passed 4 MiB and the watch was broken off, to be asked again for ever. The bound is 8 MiB now, which 19,000 entries keep to when indented, and the entries are decoded one after the other: as one tree they take several times the memory of what is kept. All three sizes pass; the other tests of the list do, too.

--- a/node/src/main/java/kitemux/node/Discovery.java
+++ b/node/src/main/java/kitemux/node/Discovery.java
@@ -3,11 +3,11 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.databind.ObjectMapper;
 
 import io.netty.bootstrap.Bootstrap;
@@ -72,8 +72,8 @@
     private static final long MOST_BACKOFF_MS_A_NODE = 100;
     /** Whatever there is to tell counts as told after 6 s: half of that leaves time to hear it. */
     private static final long LONGEST_MS = 3_000;
-    /** No list is so long; a line without an end must not fill the memory. */
-    private static final int MOST_LINE = 4 << 20;
+    /** In bytes: 19,000 servers, indented, take about 6 MB. A line without an end must not fill the memory. */
+    private static final int MOST_LINE = 8 << 20;
 
     private final EventLoop loop;
     private final List<String> zones;
@@ -275,8 +275,8 @@
 
         private void readLine(byte[] whole) {
             try {
-                if (!new String(whole, StandardCharsets.US_ASCII).isBlank()) {
-                    heed(HostList.decode(json.readTree(whole), zones, ""));
+                if (!isBlank(whole)) {
+                    heed(decode(whole));
                 } else if (!told) {
                     // A beat. As the first word it says that nothing has changed: the call has its answer.
                     heed(new HostList(rev, false, List.of()));
@@ -288,6 +288,21 @@
             }
         }
 
+        private static boolean isBlank(byte[] line) {
+            for (byte each : line) {
+                if (!Character.isWhitespace(each)) {
+                    return false;
+                }
+            }
+            return true;
+        }
+
+        private HostList decode(byte[] whole) throws IOException, ConfigException {
+            try (JsonParser parser = json.createParser(whole)) {
+                return HostList.decode(parser, zones);
+            }
+        }
+
         private void heed(HostList list) {
             if (!told || !list.hosts().isEmpty()) {
                 Log.line("discovery: " + (told ? "" : "first word, ") + list.summary());
--- a/node/src/main/java/kitemux/node/HostList.java
+++ b/node/src/main/java/kitemux/node/HostList.java
@@ -1,10 +1,14 @@
 package kitemux.node;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
 
 import kitemux.Balancer.ServerEntry;
 import kitemux.Balancer.ServerState;
@@ -42,6 +46,46 @@
         return new HostList(list.path("rev").asLong(), list.path("all").asBoolean(), hosts);
     }
 
+    /**
+     * The same from discovery's bytes, one entry after the other: the whole of a long list as a tree takes several
+     * times the memory of what is kept of it.
+     */
+    static HostList decode(JsonParser parser, List<String> zones) throws IOException, ConfigException {
+        JsonNode rev = MissingNode.getInstance();
+        JsonNode all = MissingNode.getInstance();
+        List<Host> hosts = null;
+        if (parser.nextToken() != JsonToken.START_OBJECT) {
+            throw new ConfigException("list", "is no object");
+        }
+        while (parser.nextToken() == JsonToken.FIELD_NAME) {
+            String field = parser.currentName();
+            JsonToken value = parser.nextToken();
+            if (field.equals("targets") && value == JsonToken.START_ARRAY) {
+                hosts = hosts(parser, zones);
+            } else {
+                JsonNode node = parser.readValueAsTree();
+                rev = field.equals("rev") ? node : rev;
+                all = field.equals("all") ? node : all;
+            }
+        }
+        if (!rev.isIntegralNumber()) {
+            throw new ConfigException("rev", "is missing or not a whole number");
+        }
+        if (hosts == null) {
+            throw new ConfigException("targets", "is missing or not a list");
+        }
+        return new HostList(rev.asLong(), all.asBoolean(), hosts);
+    }
+
+    private static List<Host> hosts(JsonParser parser, List<String> zones) throws IOException, ConfigException {
+        List<Host> hosts = new ArrayList<>();
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+            JsonNode target = parser.readValueAsTree();
+            hosts.add(host(target, zones, "targets[" + hosts.size() + "]."));
+        }
+        return hosts;
+    }
+
     /** In one line, for the log. */
     String summary() {
         int[] counts = new int[ServerState.values().length];
--- /dev/null
+++ b/node/src/test/java/kitemux/node/LargeListTest.java
@@ -0,0 +1,96 @@
+package kitemux.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import kitemux.Main;
+
+/** Long lists of servers, told to a node with the memory that it has in service. */
+class LargeListTest {
+    private static final String HEAP = "-Xmx64m";
+
+    /** An entry as discovery writes it, with all its fields. */
+    private static String entry(int server, String endpoint) {
+        return "{\"uid\":\"s-%08x\",\"endpoint\":\"%s\",\"az\":\"here\",\"model\":\"m2\",\"pod_group\":%d,"
+                .formatted(server, endpoint, server % 40)
+                + "\"state\":\"Ready\",\"capacity_hint\":1.0,\"boot_ms\":1764600000000}";
+    }
+
+    private static String wholeList(int servers, String endpoint) {
+        StringBuilder list = new StringBuilder("{\"rev\":2,\"all\":true,\"targets\":[");
+        for (int i = 0; i < servers; i++) {
+            list.append(i == 0 ? "" : ",").append(entry(i, endpoint));
+        }
+        return list.append("]}").toString();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1_024, 5_000, 19_000})
+    void aNodeServesBeforeAndAfterItIsToldALongList(int servers, @TempDir Path folder) throws Exception {
+        try (FarServer server = FarServer.serving("x");
+                FarServer discovery = new FarServer((request, peer) -> peer.write(Site.watchHead()))) {
+            String known = Site.list(1, true, "s0=" + server.endpoint() + "=Ready");
+            Process program = start(folder, discovery.endpoint(), known);
+            try {
+                String listening = awaitLine(program, line -> line.startsWith("listening on "));
+                int port = Integer.parseInt(listening.substring(listening.lastIndexOf(':') + 1));
+                assertEquals(200, ask(port, "before"));
+                FarServer.next(discovery.peers).write(Site.chunk(wholeList(servers, server.endpoint()) + "\n"));
+                awaitLine(program, line -> line.endsWith("list 2 whole: " + servers
+                        + " ready, 0 draining, 0 gone"));
+                for (int i = 0; i < 20; i++) {
+                    assertEquals(200, ask(port, "after" + i));
+                }
+            } finally {
+                program.destroyForcibly();
+            }
+        }
+    }
+
+    private static Process start(Path folder, String discovery, String known) throws IOException {
+        Path config = Files.writeString(folder.resolve("config.json"), """
+                {"listen":"127.0.0.1:0","discovery":"%s","seed":"1","limits":{"sockets":256},"known":%s,
+                 "settings":{"balancers":1200,"zones":["here"],"membershipMode":"pushed","limits":{"attemptsCap":4},
+                 "classes":[{"name":"page","onTimeUs":60000000,"giveUpUs":60000000,"repeat":"safe"}]}}
+                """.formatted(discovery, known));
+        String java = ProcessHandle.current().info().command().orElseThrow();
+        ProcessBuilder builder = new ProcessBuilder(java, "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", HEAP,
+                "-Xss256k", "-XX:MaxDirectMemorySize=16m", "-XX:+ExitOnOutOfMemoryError", "-cp",
+                System.getProperty("java.class.path"), Main.class.getName(), "node");
+        builder.environment().put("PROXY_CONFIG", config.toString());
+        return builder.redirectErrorStream(true).start();
+    }
+
+    private static String awaitLine(Process program, Predicate<String> awaited) throws IOException {
+        List<String> lines = new ArrayList<>();
+        while (true) {
+            String line = program.inputReader().readLine();
+            assertNotNull(line, "the program has ended: " + lines);
+            lines.add(line);
+            if (awaited.test(line)) {
+                return line;
+            }
+        }
+    }
+
+    private static int ask(int port, String txn) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.setSoTimeout(60_000);
+            Site.write(socket, Http.page("/api/p", txn, "60000m"));
+            return Http.read(socket.getInputStream()).status();
+        }
+    }
+}
