--- a/cli/src/main/java/kitemux/cli/Fleet.java
+++ b/cli/src/main/java/kitemux/cli/Fleet.java
@@ -39,7 +39,7 @@
 
 /** Whole fleets: several nodes, what surrounds them, and what goes wrong between them. */
 @Command(name = "fleet", mixinStandardHelpOptions = true, subcommands = {FleetDemo.class,
-        FleetMembers.class, FleetStudy.class},
+        FleetMembers.class, FleetScale.class, FleetStudy.class},
         description = "Plays fleets of nodes, with what goes wrong between them, before a referee.")
 final class Fleet {
     private static final String JAR = "jar:";
--- a/cli/src/test/java/kitemux/cli/FleetTest.java
+++ b/cli/src/test/java/kitemux/cli/FleetTest.java
@@ -42,6 +42,27 @@
         return Files.writeString(folder.resolve("scenario.toml"), text);
     }
 
+    @Test
+    void scaleMeasuresEachSizeAndHowEachFigureGrows() throws Exception {
+        Path file = folder.resolve("scale.json");
+        assertEquals(0, run("fleet", "scale", "--nodes", "1200", "--servers", "200,1000,5000",
+                "--requests", "500", "--json", file.toString()), err.toString());
+        JsonNode figures = new ObjectMapper().readTree(file.toFile());
+        assertEquals(3, figures.path("costs").size());
+        assertEquals(5_000, figures.path("costs").get(2).path("servers").asInt());
+        JsonNode state = figures.path("growth").path("stateBytes");
+        assertTrue(state.path("perServer").asDouble() > 0, state.toString());
+        assertTrue(state.path("rSquared").asDouble() > 0.9, state.toString());
+    }
+
+    @Test
+    void scaleNamesTheOptionThatIsWrong() {
+        assertEquals(2, run("fleet", "scale", "--servers", "5"));
+        assertTrue(err.toString().contains("--servers = [5]: must be two sizes or more"), err.toString());
+        assertEquals(2, run("fleet", "scale", "--nodes", "0"));
+        assertTrue(err.toString().contains("--nodes = 0: must be at least 1"), err.toString());
+    }
+
     @Test
     void aRunTellsItsOutcomeAsJsonAndTheSameOneEachTime() throws Exception {
         String[] words = {"fleet", "run", "scenarios/calm.toml", "--seed", "3", "--json", "--set",
--- a/node/src/main/java/kitemux/Balancer.java
+++ b/node/src/main/java/kitemux/Balancer.java
@@ -135,7 +135,8 @@
     record Request(long id, int classIndex, int tenant, long leftUs, long workUs, boolean retry,
             String key, long waitedUs) {
         /** A request that is told as it arrives. */
-        public Request(long id, int classIndex, int tenant, long leftUs, long workUs, boolean retry, String key) {
+        public Request(long id, int classIndex, int tenant, long leftUs, long workUs, boolean retry,
+                String key) {
             this(id, classIndex, tenant, leftUs, workUs, retry, key, 0);
         }
     }
--- a/node/src/main/java/kitemux/loop/LoopLag.java
+++ b/node/src/main/java/kitemux/loop/LoopLag.java
@@ -17,8 +17,9 @@
  * Measures the lag of an event loop: since when what it reads may have been waiting in the sockets.
  *
  * <p>Each turn of the loop polls its sockets, handles what is ready and runs the tasks that are due. What is
- * ready at a poll has come since the poll before. Where the loop was busy for long between the two, by its own
- * work or because its thread did not run, that is how long it may have waited: bytes do not say when they came.
+ * ready at a poll has come since the poll before. Where the loop was busy for long between the two, by its
+ * own work or because its thread did not run, that is how long it may have waited: bytes do not say when they
+ * came.
  */
 public final class LoopLag implements IoHandler, SelectStrategy {
     /** Shorter lags count as none: they are the rule, and no deadline is that exact. */
@@ -36,15 +37,17 @@
 
         @Override
         public String toString() {
-            return turns + " turns, at most " + longestHandlingNanos / MILLISECOND_NANOS + " ms of handling and "
-                    + longestTasksNanos / MILLISECOND_NANOS + " ms of tasks in one";
+            return turns + " turns, at most " + longestHandlingNanos / MILLISECOND_NANOS + " ms of handling"
+                    + " and " + longestTasksNanos / MILLISECOND_NANOS + " ms of tasks in one";
         }
     }
 
     private final LongSupplier nanoTime;
     private IoHandler handler;
     private WholeMillisecondWaits waits;
-    /** When the last poll returned: the time of the first event that was handled, or of the end without one. */
+    /**
+     * When the last poll returned: the time of the first event that was handled, or of the end without one.
+     */
     private long polledAtNanos;
     private boolean handledAny;
     /** Whether what is handled in this turn may have been waiting since the poll before it. */
--- a/node/src/main/java/kitemux/loop/WholeMillisecondWaits.java
+++ b/node/src/main/java/kitemux/loop/WholeMillisecondWaits.java
@@ -6,9 +6,9 @@
  * Tells a loop's poll to wait until the next timer is due, in whole milliseconds, rounded up.
  *
  * <p>A poll waits for whole milliseconds. Netty rounds what is left to a timer to the nearest one, so that it
- * does not wait at all for the last half millisecond: it polls over and over until the timer is due. Each timer
- * then costs hundreds of system calls, and a processor that is short or shared loses its time to them. Rounded
- * up, a timer is up to one millisecond late and the loop sleeps.
+ * does not wait at all for the last half millisecond: it polls over and over until the timer is due. Each
+ * timer then costs hundreds of system calls, and a processor that is short or shared loses its time to them.
+ * Rounded up, a timer is up to one millisecond late and the loop sleeps.
  */
 final class WholeMillisecondWaits implements IoHandlerContext {
     private static final long MILLISECOND_NANOS = 1_000_000;
--- a/node/src/main/java/kitemux/node/Discovery.java
+++ b/node/src/main/java/kitemux/node/Discovery.java
@@ -72,7 +72,9 @@
     private static final long MOST_BACKOFF_MS_A_NODE = 100;
     /** Whatever there is to tell counts as told after 6 s: half of that leaves time to hear it. */
     private static final long LONGEST_MS = 3_000;
-    /** In bytes: 19,000 servers, indented, take about 6 MB. A line without an end must not fill the memory. */
+    /**
+     * In bytes: 19,000 servers, indented, take about 6 MB. A line without an end must not fill the memory.
+     */
     private static final int MOST_LINE = 8 << 20;
 
     private final EventLoop loop;
--- a/node/src/main/java/kitemux/node/HostList.java
+++ b/node/src/main/java/kitemux/node/HostList.java
@@ -47,8 +47,8 @@
     }
 
     /**
-     * The same from discovery's bytes, one entry after the other: the whole of a long list as a tree takes several
-     * times the memory of what is kept of it.
+     * The same from discovery's bytes, one entry after the other: the whole of a long list as a tree takes
+     * several times the memory of what is kept of it.
      */
     static HostList decode(JsonParser parser, List<String> zones) throws IOException, ConfigException {
         JsonNode rev = MissingNode.getInstance();
@@ -77,7 +77,8 @@
         return new HostList(rev.asLong(), all.asBoolean(), hosts);
     }
 
-    private static List<Host> hosts(JsonParser parser, List<String> zones) throws IOException, ConfigException {
+    private static List<Host> hosts(JsonParser parser, List<String> zones)
+            throws IOException, ConfigException {
         List<Host> hosts = new ArrayList<>();
         while (parser.nextToken() != JsonToken.END_ARRAY) {
             JsonNode target = parser.readValueAsTree();
--- a/node/src/main/java/kitemux/node/RequestLife.java
+++ b/node/src/main/java/kitemux/node/RequestLife.java
@@ -116,7 +116,8 @@
             long nowUs = means.clock().nowUs();
             long waitedUs = Math.max(0, nowUs - arrivedAtUs());
             module.onRequest(nowUs, new Request(id, head.classIndex(), head.tenant(),
-                    Math.max(0, wantedUs - nowUs + waitedUs), head.workUs(), head.retry(), head.key(), waitedUs));
+                    Math.max(0, wantedUs - nowUs + waitedUs), head.workUs(), head.retry(), head.key(),
+                    waitedUs));
         });
     }
 
@@ -228,8 +229,8 @@
     /** Answers it without waiting any longer, as the process ends; an answer that flows goes on. */
     void cutOff() {
         if (!ended && answering == null) {
-            answer(attempts.isEmpty() ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.BAD_GATEWAY,
-                    NO_BODY, 0);
+            answer(attempts.isEmpty() ? HttpResponseStatus.SERVICE_UNAVAILABLE
+                    : HttpResponseStatus.BAD_GATEWAY, NO_BODY, 0);
             means.module().tell(module -> module.onClientGone(means.clock().nowUs(), id));
         }
     }
--- a/node/src/test/java/kitemux/node/LargeListTest.java
+++ b/node/src/test/java/kitemux/node/LargeListTest.java
@@ -48,7 +48,8 @@
                 String listening = awaitLine(program, line -> line.startsWith("listening on "));
                 int port = Integer.parseInt(listening.substring(listening.lastIndexOf(':') + 1));
                 assertEquals(200, ask(port, "before"));
-                FarServer.next(discovery.peers).write(Site.chunk(wholeList(servers, server.endpoint()) + "\n"));
+                String list = wholeList(servers, server.endpoint());
+                FarServer.next(discovery.peers).write(Site.chunk(list + "\n"));
                 awaitLine(program, line -> line.endsWith("list 2 whole: " + servers
                         + " ready, 0 draining, 0 gone"));
                 for (int i = 0; i < 20; i++) {
@@ -63,7 +64,8 @@
     private static Process start(Path folder, String discovery, String known) throws IOException {
         Path config = Files.writeString(folder.resolve("config.json"), """
                 {"listen":"127.0.0.1:0","discovery":"%s","seed":"1","limits":{"sockets":256},"known":%s,
-                 "settings":{"balancers":1200,"zones":["here"],"membershipMode":"pushed","limits":{"attemptsCap":4},
+                 "settings":{"balancers":1200,"zones":["here"],"membershipMode":"pushed",
+                 "limits":{"attemptsCap":4},
                  "classes":[{"name":"page","onTimeUs":60000000,"giveUpUs":60000000,"repeat":"safe"}]}}
                 """.formatted(discovery, known));
         String java = ProcessHandle.current().info().command().orElseThrow();
--- a/node/src/test/java/kitemux/node/StalledLoopTest.java
+++ b/node/src/test/java/kitemux/node/StalledLoopTest.java
@@ -35,7 +35,8 @@
 
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
-    void aRequestThatWaitedToBeReadTellsTheServerWhatIsLeftToItsClient(boolean newConnection) throws Exception {
+    void aRequestThatWaitedToBeReadTellsTheServerWhatIsLeftToItsClient(boolean newConnection)
+            throws Exception {
         try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
             Socket open = site.connect();
             assertEquals(200, Site.ask(open, Http.page("/api/p", "first", "15000m")).status());
@@ -77,7 +78,8 @@
             peer.write(Http.ok("x"));
         }); Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
-            Site.write(client, Http.page("/api/p", "first", "15000m") + Http.page("/api/p", "second", "15000m"));
+            Site.write(client, Http.page("/api/p", "first", "15000m")
+                    + Http.page("/api/p", "second", "15000m"));
             assertEquals(200, Http.read(client.getInputStream()).status());
             FarServer.next(server.requests);
             String left = FarServer.next(server.requests).headers().get("x-remaining");
@@ -121,7 +123,8 @@
 
     /** The same module, which runs this as it is told that an attempt is out of time. */
     private static Balancer onTimeout(Balancer module, Runnable then) {
-        return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(), new Class<?>[] {Balancer.class},
+        return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(),
+                new Class<?>[] {Balancer.class},
                 (proxy, method, arguments) -> {
                     if (method.getName().equals("onOutcome")
                             && ((Outcome) arguments[1]).result() == Result.TIMEOUT) {
--- /dev/null
+++ b/rig/src/main/java/kitemux/rig/scale/ModuleScale.java
@@ -0,0 +1,174 @@
+package kitemux.rig.scale;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import kitemux.Balancer;
+import kitemux.Balancer.Group;
+import kitemux.Balancer.ListKind;
+import kitemux.Balancer.Outcome;
+import kitemux.Balancer.Repeat;
+import kitemux.Balancer.Request;
+import kitemux.Balancer.RequestClass;
+import kitemux.Balancer.Result;
+import kitemux.Balancer.ServerEntry;
+import kitemux.Balancer.ServerState;
+import kitemux.Balancer.Settings;
+import kitemux.ServiceQBalancer;
+
+/**
+ * Measures what the decision module of one node costs as the fleet grows: one module, without sockets, that
+ * is told of servers, requests and their outcomes.
+ */
+public final class ModuleScale {
+    private static final int ROUNDS = 5;
+    private static final int CHANGES = 200;
+    private static final int ZONES = 19;
+    /** Of attempts that fail, where some do: each changes the weights of all draws. */
+    private static final double FAILING = 0.01;
+    private static final long GAP_US = 8_000;
+
+    private ModuleScale() { }
+
+    /**
+     * What one module cost.
+     *
+     * @param nodes as its settings say
+     * @param servers in its list
+     * @param stateBytes heap retained by the module, its settings and its list
+     * @param wholeListUs thread's processor time for a whole list, median of five
+     * @param oneChangeUs the same for a change of one server, mean of 200
+     * @param decisionUs the same for a request and its answer, where all succeed, median of five means
+     * @param failingDecisionUs the same where one answer in a hundred is an error
+     */
+    public record Cost(int nodes, int servers, long stateBytes, double wholeListUs, double oneChangeUs,
+            double decisionUs, double failingDecisionUs) { }
+
+    /** Measures a module before so many servers, with so many requests in each round. */
+    public static Cost measure(int nodes, int servers, int requests) {
+        long before = usedBytes();
+        Driver driver = new Driver(nodes, servers);
+        driver.list();
+        driver.ask(requests, 0);
+        long stateBytes = usedBytes() - before;
+        double[] lists = new double[ROUNDS];
+        double[] decisions = new double[ROUNDS];
+        double[] failing = new double[ROUNDS];
+        for (int i = 0; i < ROUNDS; i++) {
+            lists[i] = cpuUs(driver::list);
+            decisions[i] = cpuUs(() -> driver.ask(requests, 0)) / requests;
+            failing[i] = cpuUs(() -> driver.ask(requests, FAILING)) / requests;
+        }
+        double change = cpuUs(() -> driver.change(CHANGES)) / CHANGES;
+        return new Cost(nodes, servers, stateBytes, median(lists), change, median(decisions),
+                median(failing));
+    }
+
+    private static double median(double[] values) {
+        Arrays.sort(values);
+        return values[values.length / 2];
+    }
+
+    private static double cpuUs(Runnable work) {
+        ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+        long before = threads.getCurrentThreadCpuTime();
+        work.run();
+        return (threads.getCurrentThreadCpuTime() - before) / 1e3;
+    }
+
+    /** After a collection; the Java runtime may ignore the first call for one. */
+    private static long usedBytes() {
+        System.gc();
+        System.gc();
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
+
+    /** A module with the clock, the servers and the clients that it sees. */
+    private static final class Driver implements Balancer.Actions {
+        private final SplittableRandom random = new SplittableRandom(1);
+        private final List<ServerEntry> entries = new ArrayList<>();
+        private final Balancer module;
+        private long nowUs = 1_000_000;
+        private long lastRequest;
+        private boolean sent;
+        private int attempts;
+
+        Driver(int nodes, int servers) {
+            Settings settings = new Settings();
+            settings.nodes = nodes;
+            for (int zone = 0; zone < ZONES; zone++) {
+                settings.zones.add("zone-" + zone);
+            }
+            settings.classes.add(new RequestClass("page", 1_000_000, 0, 5_000_000, 1, 0, Repeat.SAFE,
+                    Group.ALL, 1_000_000, false));
+            for (int i = 0; i < servers; i++) {
+                entries.add(new ServerEntry("s-" + i, i % ZONES, 0, ServerState.READY, 1, 0));
+            }
+            module = new ServiceQBalancer(settings, 1, this);
+        }
+
+        void list() {
+            module.onServers(nowUs, ListKind.FULL, entries);
+        }
+
+        /** Changes of one server each, in turn away from and back to service. */
+        void change(int changes) {
+            for (int i = 0; i < changes; i++) {
+                ServerEntry entry = entries.get(0);
+                ServerState state = i % 2 == 0 ? ServerState.DRAINING : ServerState.READY;
+                module.onServers(nowUs, ListKind.CHANGES, List.of(new ServerEntry(entry.id(), entry.zone(),
+                        entry.cell(), state, 1, 0)));
+            }
+        }
+
+        void ask(int requests, double failing) {
+            for (int i = 0; i < requests; i++) {
+                nowUs += GAP_US;
+                long id = ++lastRequest;
+                attempts = 0;
+                sent = false;
+                module.onRequest(nowUs, new Request(id, 0, -1, 5_000_000, 0, false, null));
+                while (sent) {
+                    sent = false;
+                    boolean fails = random.nextDouble() < failing;
+                    module.onOutcome(nowUs, new Outcome(id, attempts - 1, fails ? Result.ERROR : Result.OK,
+                            1_000, !fails, null));
+                }
+            }
+        }
+
+        @Override
+        public void send(long requestId, String serverId, long beginByUs, long untilUs) {
+            attempts++;
+            sent = true;
+        }
+
+        @Override
+        public void cancel(long requestId, int attempt) { }
+
+        @Override
+        public void refuse(long requestId, long retryAfterUs) { }
+
+        @Override
+        public void fail(long requestId) { }
+
+        @Override
+        public void wakeAt(long atUs) { }
+
+        @Override
+        public void probe(String serverId) { }
+
+        @Override
+        public void closeIdle(String serverId) { }
+
+        @Override
+        public void subscribe() { }
+
+        @Override
+        public void log(String line) { }
+    }
+}
--- a/rig/src/test/java/kitemux/rig/real/MemberFleetTest.java
+++ b/rig/src/test/java/kitemux/rig/real/MemberFleetTest.java
@@ -47,8 +47,8 @@
     void theyFindEachOtherAndHearOfEndsAndOfLeaving() throws Exception {
         try (MemberFleet fleet = fleet().with(6)) {
             fleet.await("all six to agree", AWAITED_MS, fleet::agree);
-            // On a machine that is full a member that lives may be given up for a while: counted by name, and from
-            // the event on, the figures do not rest on its speed.
+            // On a machine that is full a member that lives may be given up for a while: counted by name, and
+            // from the event on, the figures do not rest on its speed.
             Process observer = fleet.process(1);
             long deathsBefore = told(observer, "died", "m4");
             fleet.process(4).kill();
