Keep what a server has claimed beside the table of subsets, not search its row

What each server has claimed is kept in a short array now. Which servers a node uses is the same: the new LargeFleetTest.subsetsStay... holds a digest that the program before gives too.

--- a/node/src/main/java/kitemux/ServiceQBalancer.java
+++ b/node/src/main/java/kitemux/ServiceQBalancer.java
@@ -504,28 +504,34 @@
         Server[] table = new Server[places];
         int[] at = Arrays.stream(turns).mapToInt(s -> (int) Math.floorMod(s.hash, (long) places)).toArray();
         int[] tries = new int[turns.length];
+        int[][] rows = new int[turns.length][0];
         int left = places;
         int idle = 0;
         for (int i = 0; left > 0 && idle < turns.length; i = (i + 1) % turns.length) {
             int skip = 1 + (int) Math.floorMod(turns[i].hash >> 32, places - 1L);
-            while (tries[i] < places && !claims(table, turns[i], at[i], row)) {
+            while (tries[i] < places && (table[at[i]] != null || contains(rows[i], at[i] / row))) {
                 at[i] = (at[i] + skip) % places;
                 tries[i]++;
             }
             idle = tries[i] == places ? idle + 1 : 0;
-            left -= tries[i] == places ? 0 : 1;
+            if (tries[i] < places) {
+                table[at[i]] = turns[i];
+                // What it has claimed is kept beside: to look through the row would cost its length each time.
+                rows[i] = Arrays.copyOf(rows[i], rows[i].length + 1);
+                rows[i][rows[i].length - 1] = at[i] / row;
+                left--;
+            }
         }
         return table;
     }
 
-    private static boolean claims(Server[] table, Server server, int place, int size) {
-        int row = place - place % size;
-        if (table[place] != null || Arrays.asList(table).subList(row, Math.min(row + size, table.length))
-                .contains(server)) {
-            return false;
+    private static boolean contains(int[] values, int value) {
+        for (int each : values) {
+            if (each == value) {
+                return true;
+            }
         }
-        table[place] = server;
-        return true;
+        return false;
     }
 
     private static int nextPrime(int from) {
--- a/node/src/test/java/kitemux/LargeFleetTest.java
+++ b/node/src/test/java/kitemux/LargeFleetTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 
 import org.junit.jupiter.api.Test;
 
@@ -53,6 +54,18 @@
         return entries;
     }
 
+    /** Nodes of two versions run side by side while a fleet is upgraded: both have to find the same subsets. */
+    @Test
+    void subsetsStayTheSameFromVersionToVersion() {
+        Settings set = Node.settings();
+        set.nodes = 1_200;
+        set.me = 7;
+        Node node = new Node(set, 7);
+        Set<String> used = inUse(node.with(2_000), 3_000);
+        assertEquals(40, used.size(), used.toString());
+        assertEquals(-1973667710, new TreeSet<>(used).hashCode(), used.toString());
+    }
+
     @Test
     void nodesOfALargeFleetKeepToSubsetsThatShareServersEvenly() {
         Map<String, Integer> nodesOf = new HashMap<>();
