--- a/node/src/main/java/kitemux/ServiceQBalancer.java
+++ b/node/src/main/java/kitemux/ServiceQBalancer.java
@@ -516,7 +516,8 @@
             idle = tries[i] == places ? idle + 1 : 0;
             if (tries[i] < places) {
                 table[at[i]] = turns[i];
-                // What it has claimed is kept beside: to look through the row would cost its length each time.
+                // What it has claimed is kept beside: to look through the row would cost its length each
+                // time.
                 rows[i] = Arrays.copyOf(rows[i], rows[i].length + 1);
                 rows[i][rows[i].length - 1] = at[i] / row;
                 left--;
--- a/node/src/test/java/kitemux/LargeFleetTest.java
+++ b/node/src/test/java/kitemux/LargeFleetTest.java
@@ -54,7 +54,9 @@
         return entries;
     }
 
-    /** Nodes of two versions run side by side while a fleet is upgraded: both have to find the same subsets. */
+    /**
+     * Nodes of two versions run side by side while a fleet is upgraded: both have to find the same subsets.
+     */
     @Test
     void subsetsStayTheSameFromVersionToVersion() {
         Settings set = Node.settings();
