--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,6 @@
+#!/bin/bash
+# Exit code: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+[ -f node/target/load-balancer.jar ] || { echo "no build of the deploy file" >&2; exit 2; }
+[ -f review/rig/target/EndlessAnswer.class ] || { echo "no stand-ins: run review/build.sh" >&2; exit 2; }
+exec timeout -k 5 110 java -Xmx512m -cp review/rig/target EndlessAnswer "$PWD" "review/3/record.txt"
