Review case 1: check also that no POST runs twice

Why: a late second copy of a 503 with X-Turned-Away lets an unsafe request run twice, by the same fault. What: app servers turn one request in ten away, in both forms of the script; a POST that runs again breaks the rule too.

--- a/review/rig/ForeignAnswer.java
+++ b/review/rig/ForeignAnswer.java
@@ -7,17 +7,20 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Case 1. App servers answer every request rightly. After one answer in twenty, the same answer comes a second time on
- * its connection, 2 to 6 ms later: whole, or in two pieces. Each 200 that a client gets must have the body that an app
- * server made for that request.
+ * Case 1. App servers serve nine requests in ten and turn one in ten away, as full. After one answer in ten, the same
+ * answer comes a second time on its connection, 2 to 6 ms later: whole, or in two pieces. Each 200 that a client gets
+ * must have the body that an app server made for that request, and no POST may run twice.
  */
 final class ForeignAnswer {
     private static final int SERVERS = 4;
     private static final int CLIENTS = 10;
     private static final int REQUESTS_PER_CLIENT = 200;
-    private static final int SPOILT_ONE_IN = 20;
+    private static final int SPOILT_ONE_IN = 10;
+    private static final int TURNED_AWAY_ONE_IN = 10;
 
     private final Map<String, String> madeFor = new ConcurrentHashMap<>();
+    private final Map<String, Integer> runs = new ConcurrentHashMap<>();
+    private final AtomicInteger ranTwice = new AtomicInteger();
     private final AtomicInteger answers = new AtomicInteger();
     private final AtomicInteger spoiltWhole = new AtomicInteger();
     private final AtomicInteger spoiltInPieces = new AtomicInteger();
@@ -56,18 +59,28 @@
         if (served.get() < CLIENTS * REQUESTS_PER_CLIENT / 2) {
             throw new IllegalStateException("too few requests were served to judge");
         }
-        return foreign.get() > 0;
+        rig.say("POST requests that ran twice: " + ranTwice);
+        return foreign.get() > 0 || ranTwice.get() > 0;
     }
 
     private boolean serve(Rig rig, Rig.AppServer server, Rig.Connection connection, Rig.Message request)
             throws Exception {
         String id = request.field("x-txn");
-        String body = "made for " + id + " by " + server.name;
-        rig.log(server.name, "runs " + request.firstLine.split(" ")[0] + " " + id);
-        madeFor.put(id + "/" + body, body);
-        Random random = new Random(id.hashCode());
-        Thread.sleep(10 + random.nextInt(30));
-        String answer = Rig.answer(body);
+        boolean post = request.firstLine.startsWith("POST");
+        Random random = new Random((id + server.name).hashCode());
+        String answer;
+        if (random.nextInt(TURNED_AWAY_ONE_IN) == 0) {
+            rig.log(server.name, "turns away " + id);
+            answer = "HTTP/1.1 503 Service Unavailable\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n";
+        } else {
+            boolean again = runs.merge(id, 1, Integer::sum) > 1;
+            rig.log(server.name, (again && post ? "RUNS A SECOND TIME: " : "runs ") + (post ? "POST " : "GET ") + id);
+            ranTwice.addAndGet(again && post ? 1 : 0);
+            String body = "made for " + id + " by " + server.name;
+            madeFor.put(id + "/" + body, body);
+            Thread.sleep(10 + random.nextInt(30));
+            answer = Rig.answer(body);
+        }
         connection.write(answer);
         int number = answers.incrementAndGet();
         if (Rig.TROUBLE && number % SPOILT_ONE_IN == 0) {
