Log a response that the node cuts off while passing it on

The log could not tell whether the timeout of such a response never fired, or fired and let the response go on: nothing was logged before the client left. ResponseFailureTest, LargeBodyTest and ClassListTest pass.

--- a/node/src/main/java/loadbalancer/request/AttemptStream.java
+++ b/node/src/main/java/loadbalancer/request/AttemptStream.java
@@ -45,6 +45,11 @@
         responseSource = source;
     }
 
+    /** Returns the number of bytes of the response that have arrived. */
+    long responseBytes() {
+        return responseBytes;
+    }
+
     void onResponsePart(int bytes) {
         lastProgressUs = clock.nowUs();
         responseBytes += bytes;
--- a/node/src/main/java/loadbalancer/request/UpstreamAttempt.java
+++ b/node/src/main/java/loadbalancer/request/UpstreamAttempt.java
@@ -5,6 +5,7 @@
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import loadbalancer.client.ClientConnection;
+import loadbalancer.common.Log;
 import loadbalancer.http.HttpBodies;
 import loadbalancer.policy.AttemptOutcome;
 import loadbalancer.policy.AttemptResult;
@@ -34,6 +35,7 @@
  */
 final class UpstreamAttempt implements UpstreamExchange {
     private static final long NOT_STARTED = 0;
+    private static final long MICROS_PER_MILLI = 1_000;
 
     private final ProxiedRequest request;
     private final int number;
@@ -234,10 +236,26 @@
 
     /** Ends the attempt, as its time is up. If the request was not written in full, the server has not run it. */
     void expire() {
+        if (responseStartedAtUs != NOT_STARTED) {
+            logResponseCut();
+        }
         boolean mayHaveRun = services.pool().abort(serverId, this);
         onEnded(mayHaveRun ? AttemptResult.TIMEOUT : AttemptResult.CONNECT_FAILED, HttpBodies.EMPTY);
     }
 
+    private void logResponseCut() {
+        Log.warn(
+                "response_cut",
+                "txn",
+                request.clientRequest().head().requestId(),
+                "server",
+                serverId,
+                "bytes",
+                stream.responseBytes(),
+                "streamed_ms",
+                (services.clock().nowUs() - responseStartedAtUs) / MICROS_PER_MILLI);
+    }
+
     /** Cancels the attempt, unless it has ended. */
     void cancel() {
         if (!ended) {
