End a late response of unknown length unless it keeps the pace of a large one

Cause: once such a response is passed on, its deadline no longer applied. From 400 ms after it the attempt was only checked for a pause of 400 ms, so any byte put the end off, without a limit. Change: LateResponsePace. Time in which the client does not read does not count, as before. The observer of outcomes of two tests is one method of NodeHarness now.

--- a/node/src/main/java/loadbalancer/request/AttemptStream.java
+++ b/node/src/main/java/loadbalancer/request/AttemptStream.java
@@ -3,11 +3,10 @@
 import loadbalancer.common.MonotonicWallClock;
 import loadbalancer.transfer.FlowControl;
 import loadbalancer.transfer.RequestBody;
-import loadbalancer.transfer.TransferLimits;
 
 /**
  * The state of what an attempt streams: a request body, a response, or both. It forwards backpressure from the client
- * to the source of the response and detects a stalled server.
+ * to the source of the response, detects a stalled server and watches the pace of a late response of unknown length.
  *
  * <p>Exists only for an attempt that streams something. All methods are called on the event loop.
  */
@@ -15,12 +14,6 @@
     /** Maximum time for which a server may neither read nor send anything of what is being streamed. */
     private static final long STALL_TIMEOUT_US = 10_000_000;
 
-    /**
-     * Maximum pause of a response of unknown length after the deadline, as long as it is small enough to be due in full
-     * by the deadline. Clients treat a response as lost that arrives 500 ms after their deadline.
-     */
-    static final long LATE_STALL_TIMEOUT_US = 400_000;
-
     private final MonotonicWallClock clock;
     /** When the server last made progress, or was last found not to be the cause of a stall. */
     private long lastProgressUs;
@@ -34,6 +27,9 @@
     private long responseBytes;
     private boolean responsePaused;
 
+    /** The pace of a response of unknown length; null until its deadline has passed. */
+    private LateResponsePace latePace;
+
     AttemptStream(MonotonicWallClock clock, long startedAtUs) {
         this.clock = clock;
         lastProgressUs = startedAtUs;
@@ -65,26 +61,27 @@
     public void resumeReading() {
         responsePaused = false;
         lastProgressUs = clock.nowUs();
+        if (latePace != null) {
+            latePace.startWindow(lastProgressUs, responseBytes);
+        }
         responseSource.resumeReading();
     }
 
     // ---------------------------------------------------------------- stalls
 
-    /** Returns whether the part of the response that has arrived exceeds the limit for buffered bodies. */
-    boolean isLargeResponse() {
-        return responseBytes > TransferLimits.MAX_BUFFERED_BYTES;
+    /** Starts to watch the pace of a response of unknown length, as this deadline has just passed. */
+    void onDeadlinePassed(long deadlineUs) {
+        latePace = new LateResponsePace(deadlineUs, responseBytes);
     }
 
-    /**
-     * Returns whether the response has stalled for {@link #LATE_STALL_TIMEOUT_US} without being paused by the client.
-     */
-    boolean isStalledLate(long nowUs) {
-        return !responsePaused && nowUs - lastProgressUs >= LATE_STALL_TIMEOUT_US;
+    /** Judges the pace of a response of unknown length whose deadline has passed. */
+    LateResponsePace.Verdict checkLatePace() {
+        return latePace.check(clock.nowUs(), responseBytes, responsePaused);
     }
 
-    /** Returns the time at which {@link #isStalledLate} is to be checked next. */
-    long nextLateCheckUs(long nowUs) {
-        return (responsePaused ? nowUs : lastProgressUs) + LATE_STALL_TIMEOUT_US;
+    /** Returns the time at which {@link #checkLatePace} is to be called next. */
+    long nextPaceCheckUs() {
+        return latePace.windowEndUs();
     }
 
     /**
--- a/node/src/main/java/loadbalancer/request/UpstreamAttempt.java
+++ b/node/src/main/java/loadbalancer/request/UpstreamAttempt.java
@@ -51,6 +51,9 @@
     /** When the streamed response started, or {@link #NOT_STARTED}. */
     private long responseStartedAtUs = NOT_STARTED;
 
+    /** Whether the response has started without an announced length. */
+    private boolean hasUnknownLength;
+
     /** The state of what is streamed; null if nothing is. */
     private AttemptStream stream;
 
@@ -89,6 +92,10 @@
         return ended;
     }
 
+    private boolean isResponseStarted() {
+        return responseStartedAtUs != NOT_STARTED;
+    }
+
     private long deadlineUs() {
         return Math.min(endByUs, request.deadlineUs());
     }
@@ -161,11 +168,9 @@
         responseStartedAtUs = services.clock().nowUs();
         startStreaming();
         stream.onResponseStarted(source);
-        if (timeout != null) {
-            timeout.cancel(false);
-            if (length < 0) {
-                scheduleAt(deadlineUs() + AttemptStream.LATE_STALL_TIMEOUT_US, this::expireIfStalled);
-            }
+        hasUnknownLength = length < 0;
+        if (request.isReceived()) {
+            scheduleTimeout();
         }
         if (request.startResponse(this, length, stream)) {
             services.events()
@@ -201,29 +206,42 @@
 
     // ---------------------------------------------------------------- timeouts
 
+    /**
+     * Schedules the timeout that applies now: the deadline of the response, or of its rest if it has started with an
+     * unknown length. Only the start of a response whose announced length is streamed has to meet the deadline.
+     */
     private void scheduleTimeout() {
-        if (timeout != null) {
-            timeout.cancel(false);
+        cancelTimeout();
+        if (!isResponseStarted()) {
+            scheduleAt(deadlineUs(), this::expire);
+        } else if (hasUnknownLength) {
+            scheduleAt(deadlineUs(), this::startPaceChecks);
         }
-        scheduleAt(deadlineUs(), this::expire);
     }
 
     private void scheduleAt(long atUs, Runnable task) {
         timeout = services.loop().schedule(task, atUs - services.clock().nowUs(), TimeUnit.MICROSECONDS);
     }
 
-    /** Ends a small response that has stalled after its deadline, or schedules the next check. */
-    private void expireIfStalled() {
-        if (stream.isLargeResponse()) {
-            // Only the first byte of a large response has to meet the deadline; its rest may take as long as it makes
-            // progress.
-            return;
+    private void cancelTimeout() {
+        if (timeout != null) {
+            timeout.cancel(false);
+            timeout = null;
         }
-        long nowUs = services.clock().nowUs();
-        if (stream.isStalledLate(nowUs)) {
+    }
+
+    private void startPaceChecks() {
+        stream.onDeadlinePassed(deadlineUs());
+        scheduleAt(stream.nextPaceCheckUs(), this::checkPace);
+    }
+
+    /** Ends a late response that is too slow, or schedules the next check unless the response is large. */
+    private void checkPace() {
+        LateResponsePace.Verdict verdict = stream.checkLatePace();
+        if (verdict == LateResponsePace.Verdict.TOO_SLOW) {
             expire();
-        } else {
-            scheduleAt(stream.nextLateCheckUs(nowUs), this::expireIfStalled);
+        } else if (verdict == LateResponsePace.Verdict.ON_PACE) {
+            scheduleAt(stream.nextPaceCheckUs(), this::checkPace);
         }
     }
 
@@ -236,7 +254,7 @@
 
     /** Ends the attempt, as its time is up. If the request was not written in full, the server has not run it. */
     void expire() {
-        if (responseStartedAtUs != NOT_STARTED) {
+        if (isResponseStarted()) {
             logResponseCut();
         }
         boolean mayHaveRun = services.pool().abort(serverId, this);
@@ -271,13 +289,11 @@
         }
         ended = true;
         services.streaming().remove(this);
-        if (timeout != null) {
-            timeout.cancel(false);
-        }
+        cancelTimeout();
         request.onAttemptEnded(this, result, body);
         // The latency of a streamed response ends with its start: the transfer also depends on the client.
         long respondedAtUs =
-                responseStartedAtUs == NOT_STARTED ? services.clock().nowUs() : responseStartedAtUs;
+                isResponseStarted() ? responseStartedAtUs : services.clock().nowUs();
         long latencyUs = Math.max(0, respondedAtUs - requestReceivedAtUs);
         services.events().submit(request, balancer -> {
             request.onAttemptReported();
--- /dev/null
+++ b/node/src/test/java/loadbalancer/process/EndlessResponseTest.java
@@ -0,0 +1,139 @@
+package loadbalancer.process;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import loadbalancer.policy.AttemptResult;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Responses of unknown length that never end, or whose end comes long after the deadline. */
+class EndlessResponseTest {
+    private static final String CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    private static final String UNDELIMITED_HEAD = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+
+    private static final long DEADLINE_MS = 200;
+
+    /** How long after the deadline a response that is not complete counts as lost. */
+    private static final long LOST_AFTER_MS = 500;
+
+    /** Pause between two parts of an endless response. */
+    private static final long DRIP_PERIOD_MS = 50;
+
+    /** Counted down when the test is over, which ends the endless responses. */
+    private final CountDownLatch testOver = new CountDownLatch(1);
+
+    /** Writes the head and these first bytes of a response, and then a few bytes at a time until the node closes. */
+    private FakeServer.Script endlessResponse(boolean chunked, int firstBytes) {
+        return (request, connection) -> {
+            connection.write(chunked ? CHUNKED_HEAD : UNDELIMITED_HEAD);
+            String part = "a".repeat(firstBytes);
+            do {
+                connection.write(chunked ? NodeHarness.chunk(part) : part);
+                part = "drip";
+            } while (!isTestOverWithin(DRIP_PERIOD_MS));
+        };
+    }
+
+    private boolean isTestOverWithin(long millis) throws IOException {
+        try {
+            return testOver.await(millis, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+
+    /**
+     * Completes the future with whether the condition holds on the node's event loop at the time at which the response
+     * to a request that has just arrived counts as lost. The order of two timers of the loop does not depend on the
+     * speed of the machine.
+     */
+    private static CompletableFuture<Boolean> holdsBeforeLoss(NodeHarness harness, CompletableFuture<?> event) {
+        CompletableFuture<Boolean> result = new CompletableFuture<>();
+        harness.loop.schedule(
+                () -> result.complete(event.isDone()), DEADLINE_MS + LOST_AFTER_MS, TimeUnit.MILLISECONDS);
+        return result;
+    }
+
+    /** Reads the rest of a response, which must be recognizable as truncated. */
+    private static void assertTruncated(InputStream in, Http.Message head) {
+        boolean chunked = head.headers().containsKey("transfer-encoding");
+        assertThrows(IOException.class, () -> {
+            if (chunked) {
+                Http.readBody(in, head);
+            } else {
+                in.readAllBytes();
+            }
+        });
+    }
+
+    /**
+     * Guards against a client that waits forever: a server that never ends a response of unknown length, and never
+     * pauses it for long, must not keep the node from ending it in time. The first bytes may be few or many.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "true, 5, HTTP/1.1",
+        "true, 40000, HTTP/1.1",
+        "false, 5, HTTP/1.1",
+        "false, 5, HTTP/1.0",
+        "true, 40000, HTTP/1.0"
+    })
+    void endlessResponseOfUnknownLengthIsAbortedBeforeItIsLost(boolean chunked, int firstBytes, String version)
+            throws Exception {
+        CompletableFuture<AttemptResult> result = new CompletableFuture<>();
+        try (FakeServer server = new FakeServer(endlessResponse(chunked, firstBytes));
+                NodeHarness harness = NodeHarness.withSilentDiscovery()) {
+            harness.observeOutcomes(outcome -> result.complete(outcome.result()));
+            harness.start(server);
+            Socket client = harness.connect();
+            NodeHarness.write(
+                    client, Http.pageRequest("/api/p", "t", DEADLINE_MS + "m").replace("HTTP/1.1", version));
+            Http.Message head = Http.readHead(client.getInputStream());
+            assertEquals(200, head.status());
+            CompletableFuture<Boolean> endedInTime = holdsBeforeLoss(harness, result);
+            assertTrue(endedInTime.get(20, TimeUnit.SECONDS), "the response was still open when it counted as lost");
+            assertTruncated(client.getInputStream(), head);
+            assertEquals(AttemptResult.TIMEOUT, result.get());
+            FakeServer.awaitNext(server.closedConnections);
+        } finally {
+            testOver.countDown();
+        }
+    }
+
+    /**
+     * Guards against cutting off a large response, of which only the first bytes are due by the deadline. It has no
+     * length and is so slow that it cannot be told from a small one when that would have to end.
+     */
+    @Test
+    void slowLargeResponseOfUnknownLengthIsCompleted() throws Exception {
+        CountDownLatch deadlinePassed = new CountDownLatch(1);
+        CountDownLatch firstCheckPassed = new CountDownLatch(1);
+        String[] parts = {"a".repeat(30_000), "b".repeat(20_000), "c".repeat(50_000)};
+        try (FakeServer server = new FakeServer((request, connection) -> {
+                    connection.write(CHUNKED_HEAD + NodeHarness.chunk(parts[0]));
+                    FakeServer.awaitLatch(deadlinePassed);
+                    connection.write(NodeHarness.chunk(parts[1]));
+                    FakeServer.awaitLatch(firstCheckPassed);
+                    connection.write(NodeHarness.chunk(parts[2]) + "0\r\n\r\n");
+                });
+                NodeHarness harness = NodeHarness.withSilentDiscovery().start(server)) {
+            Socket client = harness.connect();
+            NodeHarness.write(client, Http.pageRequest("/api/p", "t", DEADLINE_MS + "m"));
+            Http.Message head = Http.readHead(client.getInputStream());
+            harness.loop.schedule(deadlinePassed::countDown, DEADLINE_MS, TimeUnit.MILLISECONDS);
+            harness.loop.schedule(firstCheckPassed::countDown, DEADLINE_MS + LOST_AFTER_MS, TimeUnit.MILLISECONDS);
+            String body = new String(Http.readBody(client.getInputStream(), head), StandardCharsets.US_ASCII);
+            assertEquals(String.join("", parts), body);
+        }
+    }
+}
--- a/node/src/test/java/loadbalancer/process/NodeHarness.java
+++ b/node/src/test/java/loadbalancer/process/NodeHarness.java
@@ -4,6 +4,7 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -14,12 +15,14 @@
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import loadbalancer.config.NodeConfig;
 import loadbalancer.config.OperationsConfig;
 import loadbalancer.discovery.EndpointListDecoder;
 import loadbalancer.eventloop.MeasuredEventLoop;
 import loadbalancer.net.SocketAddresses;
+import loadbalancer.policy.AttemptOutcome;
 import loadbalancer.policy.Balancer;
 import loadbalancer.policy.BalancerActions;
 import loadbalancer.policy.BalancerSettings;
@@ -100,6 +103,24 @@
         return "{\"rev\":" + rev + ",\"all\":" + all + ",\"targets\":[" + targets + "]}";
     }
 
+    /**
+     * Calls the observer with the outcome of each attempt, on the event loop and before the balancer of the node gets
+     * it. To be called before the node starts.
+     */
+    public void observeOutcomes(Consumer<AttemptOutcome> observer) {
+        Function<BalancerActions, Balancer> observed = balancerFactory;
+        balancerFactory = actions -> {
+            Balancer balancer = observed.apply(actions);
+            return (Balancer) Proxy.newProxyInstance(
+                    Balancer.class.getClassLoader(), new Class<?>[] {Balancer.class}, (proxy, method, arguments) -> {
+                        if (method.getName().equals("onOutcome")) {
+                            observer.accept((AttemptOutcome) arguments[1]);
+                        }
+                        return method.invoke(balancer, arguments);
+                    });
+        };
+    }
+
     private static InetSocketAddress anyPort() {
         return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     }
--- a/node/src/test/java/loadbalancer/process/StalledLoopTest.java
+++ b/node/src/test/java/loadbalancer/process/StalledLoopTest.java
@@ -5,16 +5,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.lang.reflect.Proxy;
 import java.net.Socket;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.Function;
-import loadbalancer.policy.AttemptOutcome;
 import loadbalancer.policy.AttemptResult;
-import loadbalancer.policy.Balancer;
-import loadbalancer.policy.BalancerActions;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -124,12 +119,13 @@
                     connection.write(Http.okResponse("x"));
                 });
                 NodeHarness harness = NodeHarness.withSilentDiscovery()) {
-            Function<BalancerActions, Balancer> factory = harness.balancerFactory;
-            harness.balancerFactory = actions -> onTimeout(factory.apply(actions), () -> {
-                // Gives an attempt that is already written time to reach the server.
-                stall(new CountDownLatch(1));
-                newAttemptWasFirst.set(server.requests.stream()
-                        .anyMatch(request -> "new".equals(request.headers().get("x-txn"))));
+            harness.observeOutcomes(outcome -> {
+                if (outcome.result() == AttemptResult.TIMEOUT) {
+                    // Gives an attempt that is already written time to reach the server.
+                    stall(new CountDownLatch(1));
+                    newAttemptWasFirst.set(server.requests.stream()
+                            .anyMatch(request -> "new".equals(request.headers().get("x-txn"))));
+                }
             });
             harness.start(server);
             Socket first = harness.connect();
@@ -149,16 +145,4 @@
             assertFalse(newAttemptWasFirst.get());
         }
     }
-
-    /** Returns a balancer that runs a task before it passes on the outcome of an attempt that has timed out. */
-    private static Balancer onTimeout(Balancer balancer, Runnable task) {
-        return (Balancer) Proxy.newProxyInstance(
-                Balancer.class.getClassLoader(), new Class<?>[] {Balancer.class}, (proxy, method, arguments) -> {
-                    if (method.getName().equals("onOutcome")
-                            && ((AttemptOutcome) arguments[1]).result() == AttemptResult.TIMEOUT) {
-                        task.run();
-                    }
-                    return method.invoke(balancer, arguments);
-                });
-    }
 }
--- a/node/src/test/java/loadbalancer/upstream/LoadReportDecoderTest.java
+++ b/node/src/test/java/loadbalancer/upstream/LoadReportDecoderTest.java
@@ -4,14 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 
-import java.lang.reflect.Proxy;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import loadbalancer.policy.AttemptOutcome;
-import loadbalancer.policy.Balancer;
 import loadbalancer.policy.LoadReportField;
-import loadbalancer.policy.ServiceQBalancer;
 import loadbalancer.process.FakeServer;
 import loadbalancer.process.Http;
 import loadbalancer.process.NodeHarness;
@@ -60,16 +57,7 @@
                         "200 OK", "X-Pressure: " + reports["/api/a".equals(request.path()) ? 0 : 1] + "\r\n", "x")));
                 NodeHarness harness = NodeHarness.withSilentDiscovery()) {
             harness.settings.reportFields.addAll(FIELDS);
-            harness.balancerFactory = actions -> {
-                Balancer realBalancer = new ServiceQBalancer(harness.settings, 7, actions);
-                return (Balancer) Proxy.newProxyInstance(
-                        Balancer.class.getClassLoader(), new Class<?>[] {Balancer.class}, (proxy, method, args) -> {
-                            if (args.length == 2 && args[1] instanceof AttemptOutcome outcome) {
-                                outcomes.add(outcome);
-                            }
-                            return method.invoke(realBalancer, args);
-                        });
-            };
+            harness.observeOutcomes(outcomes::add);
             harness.start(server);
             assertEquals(
                     "x",
