Start the deadline of a request whose body ends after its response has started

Once a response has started the rest of the body is dropped, and its end was not passed on, so the request never had a deadline; no timeout of the attempt was ever scheduled. Evidence: endlessResponseThatStartsDuringTheBodyIsAbortedBeforeItIsLost on the program before: still open 500 ms after the deadline; a server that pauses was left after 10 s, one that does not, never. Change: RequestBody.endDropped tells the end of a dropped body, which sets the deadline; the server does not get it. An attempt whose response has started expires as TIMEOUT, not as CONNECT_FAILED: the server has answered. Its latency still counts to the start of the response. A client that leaves after such a body still ends the attempt that sent it. Result: that test passes; so do EndlessResponseTest, RequestBodyTest, LargeBodyTest, ClientServerTest, ClientDisconnectTest, ResponseFailureTest, SmallHeapTest, GracefulShutdownTest, StalledLoopTest.

--- a/node/src/main/java/loadbalancer/client/RequestAssembler.java
+++ b/node/src/main/java/loadbalancer/client/RequestAssembler.java
@@ -70,6 +70,10 @@
     private long receivedBytes;
     private ByteBuf buffered;
     private RequestBody streamedBody;
+
+    /** The streamed body whose rest is being dropped; null if there is none. */
+    private RequestBody droppedBody;
+
     private boolean readingPaused;
 
     /** The earliest time at which the current part may have arrived, by {@link System#nanoTime}. */
@@ -122,11 +126,21 @@
             channel.close();
         } else if (content instanceof LastHttpContent) {
             state.requestReceived();
+            endDroppedBody();
             listener.onRestDiscarded();
         }
     }
 
+    private void endDroppedBody() {
+        if (droppedBody != null) {
+            RequestBody dropped = droppedBody;
+            droppedBody = null;
+            dropped.endDropped();
+        }
+    }
+
     private void readHead(HttpRequest request) {
+        droppedBody = null;
         state.requestStarted(HttpUtil.isKeepAlive(request));
         listener.onRequestStarted();
         receivedBytes = 0;
@@ -271,6 +285,7 @@
     /** Stops streaming the body, as the response has started; the rest of it is read and dropped. */
     void stopStreaming() {
         if (streamedBody != null) {
+            droppedBody = streamedBody;
             streamedBody = null;
             resumeReading();
         }
--- a/node/src/main/java/loadbalancer/request/ProxiedRequest.java
+++ b/node/src/main/java/loadbalancer/request/ProxiedRequest.java
@@ -151,7 +151,8 @@
     }
 
     /**
-     * Records that the request has arrived in full, and starts its deadline. Not called after the request has ended.
+     * Records that the client has sent the whole request, and starts its deadline. The end of its body was dropped if
+     * the response had started. Not called after the request has ended.
      */
     void setReceived(long newDeadlineUs) {
         state = state.received();
@@ -305,12 +306,17 @@
             listener.onEnding(this);
             state = state.ended();
         }
-        if (!isReceived() && writingAttempt != null) {
+        if (isBodyTruncated() && writingAttempt != null) {
             // The rest of the body, which the server waits for, will not arrive.
             writingAttempt.cancel();
         }
     }
 
+    private boolean isBodyTruncated() {
+        return !isReceived()
+                || request.streamedBody() != null && request.streamedBody().isTruncated();
+    }
+
     private void notifyIfFinished() {
         if (isEnded() && openAttempts == 0) {
             listener.onFinished(this);
--- a/node/src/main/java/loadbalancer/request/UpstreamAttempt.java
+++ b/node/src/main/java/loadbalancer/request/UpstreamAttempt.java
@@ -131,9 +131,11 @@
         }
     }
 
-    /** Starts the timeout, as the request has arrived in full. */
+    /** Starts the timeout, as the client has sent the whole request. */
     void onRequestReceived() {
-        requestReceivedAtUs = services.clock().nowUs();
+        if (!isResponseStarted()) {
+            requestReceivedAtUs = services.clock().nowUs();
+        }
         scheduleTimeout();
     }
 
@@ -252,12 +254,16 @@
 
     // ---------------------------------------------------------------- end
 
-    /** Ends the attempt, as its time is up. If the request was not written in full, the server has not run it. */
+    /**
+     * Ends the attempt, as its time is up. If the request was not written in full and no response has started, the
+     * server has not run it.
+     */
     void expire() {
         if (isResponseStarted()) {
             logResponseCut();
         }
-        boolean mayHaveRun = services.pool().abort(serverId, this);
+        boolean requestWritten = services.pool().abort(serverId, this);
+        boolean mayHaveRun = requestWritten || isResponseStarted();
         onEnded(mayHaveRun ? AttemptResult.TIMEOUT : AttemptResult.CONNECT_FAILED, HttpBodies.EMPTY);
     }
 
--- a/node/src/main/java/loadbalancer/transfer/RequestBody.java
+++ b/node/src/main/java/loadbalancer/transfer/RequestBody.java
@@ -33,7 +33,7 @@
         /** A part after the retained beginning is being forwarded: the body can no longer be replayed. */
         void onCommitted();
 
-        /** The body has arrived in full. */
+        /** The client has sent all of the body. */
         void onReceived();
     }
 
@@ -47,6 +47,7 @@
     private final ArrayDeque<ByteBuf> backlog = new ArrayDeque<>();
 
     private boolean received;
+    private boolean truncated;
     private boolean clientPaused = true;
     private long forwardedBytes;
     private Sink sink;
@@ -111,6 +112,21 @@
         listener.onReceived();
     }
 
+    /**
+     * Ends a body whose rest was dropped, because a response had started: the client has sent all of it, and no server
+     * gets its end.
+     */
+    public void endDropped() {
+        received = true;
+        truncated = true;
+        listener.onReceived();
+    }
+
+    /** Returns whether the body has ended without its end being forwarded to a server. */
+    public boolean isTruncated() {
+        return truncated;
+    }
+
     /** Flushes the parts that have been forwarded. */
     public void flush() {
         if (sink != null) {
--- a/node/src/test/java/loadbalancer/process/EndlessResponseTest.java
+++ b/node/src/test/java/loadbalancer/process/EndlessResponseTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import loadbalancer.policy.AttemptResult;
+import loadbalancer.transfer.TransferLimits;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -110,6 +111,35 @@
         }
     }
 
+    /**
+     * Guards against a request without a deadline: a response that never ends starts before the client has sent the
+     * whole body, the rest of which is then dropped. The deadline counts from the last byte that the client sends.
+     */
+    @Test
+    void endlessResponseThatStartsDuringTheBodyIsAbortedBeforeItIsLost() throws Exception {
+        CompletableFuture<AttemptResult> result = new CompletableFuture<>();
+        String body = "a".repeat(TransferLimits.MAX_BUFFERED_BYTES + 1);
+        try (EarlyResponseServer server = new EarlyResponseServer(CHUNKED_HEAD + NodeHarness.chunk("first"));
+                NodeHarness harness = NodeHarness.withSilentDiscovery()) {
+            harness.observeOutcomes(outcome -> result.complete(outcome.result()));
+            harness.startWithList(NodeHarness.endpointList(1, true, "s0=" + server.endpoint() + "=Ready"));
+            Socket client = harness.connect();
+            String request = Http.orderRequest("t", DEADLINE_MS + "m")
+                    .replace(
+                            "Content-Length: 2\r\n\r\nab",
+                            "Content-Length: " + (body.length() + 1) + "\r\n\r\n" + body);
+            NodeHarness.write(client, request);
+            Http.Message head = Http.readHead(client.getInputStream());
+            assertEquals(200, head.status());
+            NodeHarness.write(client, "z");
+            harness.awaitEventLoop();
+            CompletableFuture<Boolean> endedInTime = holdsBeforeLoss(harness, result);
+            assertTrue(endedInTime.get(20, TimeUnit.SECONDS), "the response was still open when it counted as lost");
+            assertTruncated(client.getInputStream(), head);
+            assertEquals(AttemptResult.TIMEOUT, result.get());
+        }
+    }
+
     /**
      * Guards against cutting off a large response, of which only the first bytes are due by the deadline. It has no
      * length and is so slow that it cannot be told from a small one when that would have to end.
--- a/node/src/test/java/loadbalancer/transfer/RequestBodyTest.java
+++ b/node/src/test/java/loadbalancer/transfer/RequestBodyTest.java
@@ -125,6 +125,19 @@
         assertEquals(List.of("paused", "resumed", "paused", "resumed"), events);
     }
 
+    /** A server that has got a part of a body must not take it for complete when its rest has been dropped. */
+    @Test
+    void droppedEndIsReceivedButNotForwarded() {
+        RecordingServer server = new RecordingServer();
+        body.streamTo(server);
+        body.add(buffer("part"));
+        assertFalse(body.isTruncated());
+        body.endDropped();
+        assertTrue(body.isTruncated());
+        assertFalse(server.finished);
+        assertEquals(List.of("paused", "resumed", "committed", "received"), events);
+    }
+
     @Test
     void releaseReleasesBeginningAndBacklog() {
         ByteBuf backlog = buffer("backlog");
