Cancel a streamed response when its client leaves, whatever the settings are

What callers saw: nothing at once; a connection to a server, and the place of one request, stayed taken for good. Cause: where the settings do not allow to cancel attempts, those of a client that has left go on and their responses are dropped. Of a large response only the first bytes have a deadline, so one that never ends was read for as long as the server went on. The table of paths says that the connection ends; only the case with cancelling had a test. Evidence: endlessLargeResponseEndsWithItsClientWhereAttemptsAreNotCancelled on the program before: the connection to the server is still open 20 s after the client has left. Change: a request that ends cancels the attempt whose response is being streamed. An attempt without a response still goes on.

--- a/node/src/main/java/loadbalancer/request/ProxiedRequest.java
+++ b/node/src/main/java/loadbalancer/request/ProxiedRequest.java
@@ -21,8 +21,8 @@
  * <p>A request whose client leaves ends without a response. If it waits for a server, the balancer drops it and starts
  * no further attempt. An attempt that has not started yet is not sent. Attempts that wait for a connection or a
  * response are cancelled by the balancer if its settings enable cancellation; otherwise they continue, and their
- * responses are dropped. If the rest of the request body has not arrived yet, the attempt that sends it is cancelled
- * whatever the settings are.
+ * responses are dropped. Whatever the settings are, the attempt whose response is being streamed is cancelled, and so
+ * is the attempt that sends the request body if the rest of the body will not arrive.
  *
  * <p>All methods are called on the event loop.
  */
@@ -310,6 +310,10 @@
             // The rest of the body, which the server waits for, will not arrive.
             writingAttempt.cancel();
         }
+        if (streamingAttempt != null) {
+            // Nobody receives the rest of the response, which may have no end.
+            streamingAttempt.cancel();
+        }
     }
 
     private boolean isBodyTruncated() {
--- a/node/src/test/java/loadbalancer/process/EndlessResponseTest.java
+++ b/node/src/test/java/loadbalancer/process/EndlessResponseTest.java
@@ -140,6 +140,27 @@
         }
     }
 
+    /**
+     * Guards against a connection to a server that is never free again. The client of an endless response leaves, and
+     * the settings do not allow to cancel attempts. A large response has no deadline for its end, so the node must stop
+     * reading it.
+     */
+    @Test
+    void endlessLargeResponseEndsWithItsClientWhereAttemptsAreNotCancelled() throws Exception {
+        try (FakeServer server = new FakeServer(endlessResponse(true, 2 * TransferLimits.MAX_BUFFERED_BYTES));
+                NodeHarness harness = NodeHarness.withSilentDiscovery()) {
+            harness.settings.cancellation = false;
+            harness.start(server);
+            Socket client = harness.connect();
+            NodeHarness.write(client, Http.pageRequest("/api/p", "t", "15000m"));
+            assertEquals(200, Http.readHead(client.getInputStream()).status());
+            client.close();
+            FakeServer.awaitNext(server.closedConnections);
+        } finally {
+            testOver.countDown();
+        }
+    }
+
     /**
      * Guards against cutting off a large response, of which only the first bytes are due by the deadline. It has no
      * length and is so slow that it cannot be told from a small one when that would have to end.
