End a small streamed response at the shutdown deadline

What callors see: after SIGTERM, a response of unknown length that never ends is cut by SIGKILL and not by the node. Cause: at the shutdown deadline, 0.2 s before the platform kills the process, requests without a response are failed, but each response that was being streamed went on. Evidence: endlessResponseIsAbortedBeforeTheProcessIsKilled on the program before: still open 3.7 s after the drain began. Large ones go on as before.

--- a/node/src/main/java/loadbalancer/request/LateResponsePace.java
+++ b/node/src/main/java/loadbalancer/request/LateResponsePace.java
@@ -46,6 +46,11 @@
         startWindow(deadlineUs, responseBytes);
     }
 
+    /** Returns whether a response of unknown length is large, so that only its first bytes had to meet the deadline. */
+    static boolean isLarge(long responseBytes) {
+        return responseBytes > TransferLimits.MAX_BUFFERED_BYTES;
+    }
+
     /** Starts a new window, as the last one has ended or the client has resumed the response. */
     void startWindow(long nowUs, long responseBytes) {
         windowStartUs = nowUs;
@@ -65,7 +70,7 @@
      * @param paused whether the client has paused the response
      */
     Verdict check(long nowUs, long responseBytes, boolean paused) {
-        if (responseBytes > TransferLimits.MAX_BUFFERED_BYTES) {
+        if (isLarge(responseBytes)) {
             return Verdict.LARGE;
         }
         if (nowUs < windowEndUs()) {
--- a/node/src/main/java/loadbalancer/request/ProxiedRequest.java
+++ b/node/src/main/java/loadbalancer/request/ProxiedRequest.java
@@ -282,18 +282,23 @@
     }
 
     /**
-     * Responds with an error, as the process is about to end: 503 if no attempt was ever requested, else 502. A
-     * response that is being streamed continues.
+     * Ends the request, as the process is about to be killed. Responds with an error if no response has started: 503 if
+     * no attempt was ever requested, else 502. Of the responses that are being streamed, only large ones go on.
      */
     void failPending() {
-        if (!isEnded() && streamingAttempt == null) {
-            boolean neverSent = attempts.isEmpty();
-            respond(
-                    neverSent ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.BAD_GATEWAY,
-                    HttpBodies.EMPTY,
-                    0);
-            withdrawFromBalancer();
+        if (isEnded()) {
+            return;
+        }
+        if (streamingAttempt != null) {
+            streamingAttempt.expireUnlessLarge();
+            return;
         }
+        boolean neverSent = attempts.isEmpty();
+        respond(
+                neverSent ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.BAD_GATEWAY,
+                HttpBodies.EMPTY,
+                0);
+        withdrawFromBalancer();
     }
 
     private void withdrawFromBalancer() {
--- a/node/src/main/java/loadbalancer/request/UpstreamAttempt.java
+++ b/node/src/main/java/loadbalancer/request/UpstreamAttempt.java
@@ -267,6 +267,13 @@
         onEnded(mayHaveRun ? AttemptResult.TIMEOUT : AttemptResult.CONNECT_FAILED, HttpBodies.EMPTY);
     }
 
+    /** Ends the attempt unless its response, which has started, is a large one. */
+    void expireUnlessLarge() {
+        if (hasUnknownLength && !LateResponsePace.isLarge(stream.responseBytes())) {
+            expire();
+        }
+    }
+
     private void logResponseCut() {
         Log.warn(
                 "response_cut",
--- a/node/src/test/java/loadbalancer/process/EndlessResponseTest.java
+++ b/node/src/test/java/loadbalancer/process/EndlessResponseTest.java
@@ -27,6 +27,9 @@
     /** How long after the deadline a response that is not complete counts as lost. */
     private static final long LOST_AFTER_MS = 500;
 
+    /** How long after SIGTERM the platform kills a process whose longest deadline is 3 s or more. */
+    private static final long KILLED_AFTER_MS = 3_700;
+
     /** Pause between two parts of an endless response. */
     private static final long DRIP_PERIOD_MS = 50;
 
@@ -54,14 +57,20 @@
     }
 
     /**
-     * Completes the future with whether the condition holds on the node's event loop at the time at which the response
-     * to a request that has just arrived counts as lost. The order of two timers of the loop does not depend on the
-     * speed of the machine.
+     * Returns whether the event has occurred when the response to a request that has just arrived counts as lost.
      */
     private static CompletableFuture<Boolean> holdsBeforeLoss(NodeHarness harness, CompletableFuture<?> event) {
+        return holdsAfter(harness, event, DEADLINE_MS + LOST_AFTER_MS);
+    }
+
+    /**
+     * Returns whether the event has occurred on the event loop of the node after this time. The order of two timers of
+     * the loop does not depend on the speed of the machine.
+     */
+    private static CompletableFuture<Boolean> holdsAfter(
+            NodeHarness harness, CompletableFuture<?> event, long delayMillis) {
         CompletableFuture<Boolean> result = new CompletableFuture<>();
-        harness.loop.schedule(
-                () -> result.complete(event.isDone()), DEADLINE_MS + LOST_AFTER_MS, TimeUnit.MILLISECONDS);
+        harness.loop.schedule(() -> result.complete(event.isDone()), delayMillis, TimeUnit.MILLISECONDS);
         return result;
     }
 
@@ -161,6 +170,30 @@
         }
     }
 
+    /**
+     * Guards against a request that SIGKILL finds without a final response. The platform kills the process {@value
+     * #KILLED_AFTER_MS} ms after SIGTERM, and a response that never ends has started long before its deadline.
+     */
+    @Test
+    void endlessResponseIsAbortedBeforeTheProcessIsKilled() throws Exception {
+        CompletableFuture<AttemptResult> result = new CompletableFuture<>();
+        try (FakeServer server = new FakeServer(endlessResponse(true, 5));
+                NodeHarness harness = NodeHarness.withSilentDiscovery()) {
+            harness.observeOutcomes(outcome -> result.complete(outcome.result()));
+            harness.start(server);
+            Socket client = harness.connect();
+            NodeHarness.write(client, Http.orderRequest("t", "60000m"));
+            Http.Message head = Http.readHead(client.getInputStream());
+            assertEquals(200, head.status());
+            harness.drain();
+            CompletableFuture<Boolean> endedInTime = holdsAfter(harness, result, KILLED_AFTER_MS);
+            assertTrue(endedInTime.get(20, TimeUnit.SECONDS), "the response was still open at SIGKILL");
+            assertTruncated(client.getInputStream(), head);
+        } finally {
+            testOver.countDown();
+        }
+    }
+
     /**
      * Guards against cutting off a large response, of which only the first bytes are due by the deadline. It has no
      * length and is so slow that it cannot be told from a small one when that would have to end.
