Test that a large response which has started is not held to its deadline

Reason: since the end of a dropped body starts the deadline, a large response of known length that has started early must not be held to it; and LargeBodyTest.streamsALargeResponseFromItsFirstBytes did not see to it that the deadline passes. Change: a case for the first; in the second the server goes on only once the deadline has passed on the node's loop.

--- a/node/src/test/java/loadbalancer/process/EndlessResponseTest.java
+++ b/node/src/test/java/loadbalancer/process/EndlessResponseTest.java
@@ -1,6 +1,7 @@
 package loadbalancer.process;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -74,6 +75,12 @@
         return result;
     }
 
+    /** Returns a request that still lacks the last byte of its body after this one. */
+    private static String orderWithOpenBody(String body) {
+        return Http.orderRequest("t", DEADLINE_MS + "m")
+                .replace("Content-Length: 2\r\n\r\nab", "Content-Length: " + (body.length() + 1) + "\r\n\r\n" + body);
+    }
+
     /** Reads the rest of a response, which must be recognizable as truncated. */
     private static void assertTruncated(InputStream in, Http.Message head) {
         boolean chunked = head.headers().containsKey("transfer-encoding");
@@ -133,11 +140,7 @@
             harness.observeOutcomes(outcome -> result.complete(outcome.result()));
             harness.startWithList(NodeHarness.endpointList(1, true, "s0=" + server.endpoint() + "=Ready"));
             Socket client = harness.connect();
-            String request = Http.orderRequest("t", DEADLINE_MS + "m")
-                    .replace(
-                            "Content-Length: 2\r\n\r\nab",
-                            "Content-Length: " + (body.length() + 1) + "\r\n\r\n" + body);
-            NodeHarness.write(client, request);
+            NodeHarness.write(client, orderWithOpenBody(body));
             Http.Message head = Http.readHead(client.getInputStream());
             assertEquals(200, head.status());
             NodeHarness.write(client, "z");
@@ -149,6 +152,31 @@
         }
     }
 
+    /**
+     * Guards against cutting off a large response of known length that starts before the client has sent the whole
+     * body. The end of the body starts the deadline, which must not apply to a response that has started.
+     */
+    @Test
+    void largeResponseThatStartsDuringTheBodyIsCompletedAfterItsDeadline() throws Exception {
+        CompletableFuture<AttemptResult> result = new CompletableFuture<>();
+        String body = "a".repeat(TransferLimits.MAX_BUFFERED_BYTES + 1);
+        // More than the buffers on its way hold, so that it is not complete before the client reads it.
+        String response = "b".repeat(16 << 20);
+        try (EarlyResponseServer server = new EarlyResponseServer(Http.okResponse(response));
+                NodeHarness harness = NodeHarness.withSilentDiscovery()) {
+            harness.observeOutcomes(outcome -> result.complete(outcome.result()));
+            harness.startWithList(NodeHarness.endpointList(1, true, "s0=" + server.endpoint() + "=Ready"));
+            Socket client = harness.connect();
+            NodeHarness.write(client, orderWithOpenBody(body));
+            Http.Message head = Http.readHead(client.getInputStream());
+            NodeHarness.write(client, "z");
+            harness.awaitEventLoop();
+            CompletableFuture<Boolean> ended = holdsBeforeLoss(harness, result);
+            assertFalse(ended.get(20, TimeUnit.SECONDS), "the response was not open when its deadline passed");
+            assertEquals(response.length(), Http.readBody(client.getInputStream(), head).length);
+        }
+    }
+
     /**
      * Guards against a connection to a server that is never free again. The client of an endless response leaves, and
      * the settings do not allow to cancel attempts. A large response has no deadline for its end, so the node must stop
--- a/node/src/test/java/loadbalancer/process/LargeBodyTest.java
+++ b/node/src/test/java/loadbalancer/process/LargeBodyTest.java
@@ -18,6 +18,7 @@
 /** Streamed request bodies and responses, in all framings of HTTP/1.1. */
 class LargeBodyTest {
     private static final int LARGE = 300_000;
+    private static final long DEADLINE_MS = 300;
 
     /** Returns pseudo-random text of this length. */
     private static String text(int length) {
@@ -284,11 +285,11 @@
                 });
                 NodeHarness harness = NodeHarness.withSilentDiscovery().start(server)) {
             Socket client = harness.connect();
-            // The deadline may pass while the response is streamed. A response that has started goes on.
-            NodeHarness.write(client, Http.pageRequest("/api/x", "t", "300m"));
+            NodeHarness.write(client, Http.pageRequest("/api/x", "t", DEADLINE_MS + "m"));
             Http.Message head = Http.readHead(client.getInputStream());
             assertEquals(body.charAt(0), client.getInputStream().read());
-            firstBytesReceived.countDown();
+            // The rest follows once the deadline has passed. A response that has started goes on.
+            harness.loop.schedule(firstBytesReceived::countDown, DEADLINE_MS, TimeUnit.MILLISECONDS);
             assertEquals(LARGE, Integer.parseInt(head.headers().get("content-length")));
             assertEquals(
                     body.substring(1),
