Fail a run with processes at once where a node ends at its start, and print its log

Reason: KNOWN-RED's nodesThatShutDownLoseNoRequest failed once with 'nodes not up within 60 s', its logs gone with the test's folder, so that nothing could be traced. A node that ends at its start showed only as that wait. Change: the wait ends as soon as a node has ended; its message gives each node's address, state, exit code and the end of its log. LogTail serves the fleet of members too, which had the same lines. The entry stays in KNOWN-RED: its cause is not shown yet.

--- a/harness/src/main/java/loadbalancer/harness/process/MemberProcess.java
+++ b/harness/src/main/java/loadbalancer/harness/process/MemberProcess.java
@@ -38,7 +38,6 @@
     private static final String FLEET_NAME = "rig";
     private static final int CLIENT_TIMEOUT_MILLIS = 2_000;
     private static final long IDLE_TIMEOUT_US = 15_000_000;
-    private static final int LOG_TAIL_LINES = 12;
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final MemberFleet fleet;
@@ -186,15 +185,9 @@
         return Files.readString(log());
     }
 
-    /** Returns the end of its log for the message of a failed test: why the process ended or does not respond. */
+    /** Returns the end of its log, as {@link LogTail} does. */
     String logTail() {
-        try {
-            List<String> lines = Files.readAllLines(log());
-            return "\n    "
-                    + String.join("\n    ", lines.subList(Math.max(0, lines.size() - LOG_TAIL_LINES), lines.size()));
-        } catch (IOException e) {
-            return " and its log cannot be read: " + e;
-        }
+        return LogTail.of(log());
     }
 
     @Override
--- a/harness/src/main/java/loadbalancer/harness/process/ProcessNode.java
+++ b/harness/src/main/java/loadbalancer/harness/process/ProcessNode.java
@@ -41,6 +41,12 @@
     private boolean running;
     private boolean terminating;
 
+    /** The log of its latest start; null before the first one. */
+    private Path log;
+
+    /** The exit code of a process that has ended by itself since the latest start; null if none has. */
+    private Integer crashExitCode;
+
     /**
      * @param address loopback address that only this node uses
      * @param discovery address at which the node reaches its endpoint list
@@ -76,10 +82,25 @@
         return child == null ? -1 : child.pid();
     }
 
+    /** Returns whether its process has ended by itself since the latest start. */
+    boolean hasCrashed() {
+        return crashExitCode != null;
+    }
+
+    /** Describes its state and the end of its log, for the message of a run whose nodes are not up. */
+    String startReport() {
+        String state = hasCrashed() ? "ended with exit code " + crashExitCode : running ? "runs" : "is not started";
+        return "\n" + name() + " at " + HttpListener.format(listen) + " " + state + (isReady() ? ", is up" : "")
+                + LogTail.of(log);
+    }
+
     @Override
     public void start() {
         int started = nextIncarnation();
         terminating = false;
+        crashExitCode = null;
+        log = folder.resolve("log" + started);
+        Path output = log;
         history().started();
         testbed().list().follow(name(), list);
         ObjectNode known = list.fullList();
@@ -114,7 +135,7 @@
                                 "TMPDIR",
                                 temporary.toString()),
                         deploy.root(),
-                        folder.resolve("log" + started),
+                        output,
                         code -> time.runSoon(() -> onExit(started, code)));
                 time.runSoon(() -> onStarted(started, process));
             } catch (IOException e) {
@@ -173,6 +194,7 @@
     private void recordExit(boolean crashed, int exitCode) {
         nextIncarnation();
         running = false;
+        crashExitCode = crashed ? exitCode : null;
         setReady(false);
         testbed().list().unfollow(name());
         history().exited(crashed, exitCode);
--- a/harness/src/main/java/loadbalancer/harness/process/ProcessRun.java
+++ b/harness/src/main/java/loadbalancer/harness/process/ProcessRun.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import loadbalancer.harness.check.Checker;
 import loadbalancer.harness.check.Checkers;
 import loadbalancer.harness.check.NoCrash;
@@ -35,6 +36,7 @@
     public static final int MAX_NODES = 128;
 
     private static final long READY_TIMEOUT_MS = 60_000;
+    private static final long READY_POLL_MS = 10;
     /** Time by which the harness may observe an event late; checkers tolerate this much. */
     private static final long OBSERVATION_DELAY_US = 100_000;
 
@@ -141,10 +143,7 @@
             testbed.start();
             return null;
         });
-        await(
-                "all nodes are up",
-                READY_TIMEOUT_MS,
-                () -> testbed.nodes().stream().allMatch(FleetNode::isReady));
+        awaitReady();
         long startedUs = onLoop(() -> {
             testbed.startClients();
             SimulatedRun.scheduleFaults(testbed, time);
@@ -177,20 +176,27 @@
         }
     }
 
-    private void await(String condition, long withinMs, Callable<Boolean> isMet)
-            throws IOException, InterruptedException {
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(withinMs);
-        while (!onLoop(isMet)) {
+    /** Waits until all nodes are up. Fails once one of them has ended, or after {@link #READY_TIMEOUT_MS}. */
+    private void awaitReady() throws IOException, InterruptedException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_TIMEOUT_MS);
+        while (!onLoop(() -> nodes.stream().allMatch(FleetNode::isReady))) {
             if (time.failure() != null) {
                 throw new IOException("the run failed", time.failure());
             }
+            if (onLoop(() -> nodes.stream().anyMatch(ProcessNode::hasCrashed))) {
+                throw new IOException("a node ended before it was up:" + startReports());
+            }
             if (System.nanoTime() > end) {
-                throw new IOException("condition not met within " + withinMs + " ms: " + condition);
+                throw new IOException("not all nodes are up within " + READY_TIMEOUT_MS + " ms:" + startReports());
             }
-            TimeUnit.MILLISECONDS.sleep(10);
+            TimeUnit.MILLISECONDS.sleep(READY_POLL_MS);
         }
     }
 
+    private String startReports() throws IOException, InterruptedException {
+        return onLoop(() -> nodes.stream().map(ProcessNode::startReport).collect(Collectors.joining()));
+    }
+
     /** Returns the link of a node to an app server. */
     FaultLink link(int node, String server) {
         return links.link(node, server);
--- a/harness/src/test/java/loadbalancer/harness/process/ProcessRunTest.java
+++ b/harness/src/test/java/loadbalancer/harness/process/ProcessRunTest.java
@@ -2,10 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -52,8 +54,12 @@
     }
 
     private Outcome run(String more, Consumer<ProcessRun> prepare) throws Exception {
+        return run(more, prepare, DeployFile.find(Path.of("")));
+    }
+
+    private Outcome run(String more, Consumer<ProcessRun> prepare, DeployFile deploy) throws Exception {
         Scenario scenario = ScenarioFile.parse(FLEET + more, Map.of(), Faults.names());
-        try (ProcessRun run = new ProcessRun(scenario, 1, DeployFile.find(Path.of("")), folder, null, this::count)) {
+        try (ProcessRun run = new ProcessRun(scenario, 1, deploy, folder, null, this::count)) {
             prepare.accept(run);
             return run.run((nowUs, testbed) -> {
                 if (pids.isEmpty()) {
@@ -188,6 +194,19 @@
                 outcome.violations().toString());
     }
 
+    /**
+     * Guards against a failed start that tells nothing: the run must not wait for a node that has ended, and its
+     * message must contain the exit code and the end of the log, which is deleted with the folder of the run.
+     */
+    @Test
+    void nodeThatEndsAtItsStartFailsTheRunWithItsLog() {
+        DeployFile deploy = new DeployFile(folder, "exec sh -c 'echo no such option; exit 3'");
+        IOException failure = assertThrows(IOException.class, () -> run("", begun -> {}, deploy));
+        assertTrue(failure.getMessage().contains("a node ended before it was up"), failure.getMessage());
+        assertTrue(failure.getMessage().contains("exit code 3"), failure.getMessage());
+        assertTrue(failure.getMessage().contains("no such option"), failure.getMessage());
+    }
+
     @Test
     void nodesThatShutDownLoseNoRequest() throws Exception {
         Outcome outcome = run("""
