--- a/node/src/test/java/loadbalancer/process/EndlessResponseTest.java
+++ b/node/src/test/java/loadbalancer/process/EndlessResponseTest.java
@@ -34,6 +34,9 @@
     /** Pause between two parts of an endless response. */
     private static final long DRIP_PERIOD_MS = 50;
 
+    /** The result of the first attempt. */
+    private final CompletableFuture<AttemptResult> result = new CompletableFuture<>();
+
     /** Counted down when the test is over, which ends the endless responses. */
     private final CountDownLatch testOver = new CountDownLatch(1);
 
@@ -58,21 +61,35 @@
     }
 
     /**
-     * Returns whether the event has occurred when the response to a request that has just arrived counts as lost.
+     * Returns whether the attempt has ended when the response to a request that has just arrived counts as lost.
      */
-    private static CompletableFuture<Boolean> holdsBeforeLoss(NodeHarness harness, CompletableFuture<?> event) {
-        return holdsAfter(harness, event, DEADLINE_MS + LOST_AFTER_MS);
+    private CompletableFuture<Boolean> endsBeforeLoss(NodeHarness harness) {
+        return endsWithin(harness, DEADLINE_MS + LOST_AFTER_MS);
     }
 
     /**
-     * Returns whether the event has occurred on the event loop of the node after this time. The order of two timers of
-     * the loop does not depend on the speed of the machine.
+     * Returns whether the attempt ends within this time on the event loop of the node. The order of two timers of the
+     * loop does not depend on the speed of the machine.
      */
-    private static CompletableFuture<Boolean> holdsAfter(
-            NodeHarness harness, CompletableFuture<?> event, long delayMillis) {
-        CompletableFuture<Boolean> result = new CompletableFuture<>();
-        harness.loop.schedule(() -> result.complete(event.isDone()), delayMillis, TimeUnit.MILLISECONDS);
-        return result;
+    private CompletableFuture<Boolean> endsWithin(NodeHarness harness, long millis) {
+        CompletableFuture<Boolean> ended = new CompletableFuture<>();
+        harness.loop.schedule(() -> ended.complete(result.isDone()), millis, TimeUnit.MILLISECONDS);
+        return ended;
+    }
+
+    /** Returns a node that is not started yet and completes the result. */
+    private NodeHarness observedNode() throws IOException {
+        NodeHarness harness = NodeHarness.withSilentDiscovery();
+        harness.observeOutcomes(outcome -> result.complete(outcome.result()));
+        return harness;
+    }
+
+    /** Sends a request and returns the head of its response, which has started. */
+    private static Http.Message startResponse(Socket client, String request) throws IOException {
+        NodeHarness.write(client, request);
+        Http.Message head = Http.readHead(client.getInputStream());
+        assertEquals(200, head.status());
+        return head;
     }
 
     /** Returns a request that still lacks the last byte of its body after this one. */
@@ -107,17 +124,13 @@
     })
     void endlessResponseOfUnknownLengthIsAbortedBeforeItIsLost(boolean chunked, int firstBytes, String version)
             throws Exception {
-        CompletableFuture<AttemptResult> result = new CompletableFuture<>();
         try (FakeServer server = new FakeServer(endlessResponse(chunked, firstBytes));
-                NodeHarness harness = NodeHarness.withSilentDiscovery()) {
-            harness.observeOutcomes(outcome -> result.complete(outcome.result()));
+                NodeHarness harness = observedNode()) {
             harness.start(server);
             Socket client = harness.connect();
-            NodeHarness.write(
+            Http.Message head = startResponse(
                     client, Http.pageRequest("/api/p", "t", DEADLINE_MS + "m").replace("HTTP/1.1", version));
-            Http.Message head = Http.readHead(client.getInputStream());
-            assertEquals(200, head.status());
-            CompletableFuture<Boolean> endedInTime = holdsBeforeLoss(harness, result);
+            CompletableFuture<Boolean> endedInTime = endsBeforeLoss(harness);
             assertTrue(endedInTime.get(20, TimeUnit.SECONDS), "the response was still open when it counted as lost");
             assertTruncated(client.getInputStream(), head);
             assertEquals(AttemptResult.TIMEOUT, result.get());
@@ -133,19 +146,15 @@
      */
     @Test
     void endlessResponseThatStartsDuringTheBodyIsAbortedBeforeItIsLost() throws Exception {
-        CompletableFuture<AttemptResult> result = new CompletableFuture<>();
         String body = "a".repeat(TransferLimits.MAX_BUFFERED_BYTES + 1);
         try (EarlyResponseServer server = new EarlyResponseServer(CHUNKED_HEAD + NodeHarness.chunk("first"));
-                NodeHarness harness = NodeHarness.withSilentDiscovery()) {
-            harness.observeOutcomes(outcome -> result.complete(outcome.result()));
+                NodeHarness harness = observedNode()) {
             harness.startWithList(NodeHarness.endpointList(1, true, "s0=" + server.endpoint() + "=Ready"));
             Socket client = harness.connect();
-            NodeHarness.write(client, orderWithOpenBody(body));
-            Http.Message head = Http.readHead(client.getInputStream());
-            assertEquals(200, head.status());
+            Http.Message head = startResponse(client, orderWithOpenBody(body));
             NodeHarness.write(client, "z");
             harness.awaitEventLoop();
-            CompletableFuture<Boolean> endedInTime = holdsBeforeLoss(harness, result);
+            CompletableFuture<Boolean> endedInTime = endsBeforeLoss(harness);
             assertTrue(endedInTime.get(20, TimeUnit.SECONDS), "the response was still open when it counted as lost");
             assertTruncated(client.getInputStream(), head);
             assertEquals(AttemptResult.TIMEOUT, result.get());
@@ -158,20 +167,17 @@
      */
     @Test
     void largeResponseThatStartsDuringTheBodyIsCompletedAfterItsDeadline() throws Exception {
-        CompletableFuture<AttemptResult> result = new CompletableFuture<>();
         String body = "a".repeat(TransferLimits.MAX_BUFFERED_BYTES + 1);
         // More than the buffers on its way hold, so that it is not complete before the client reads it.
         String response = "b".repeat(16 << 20);
         try (EarlyResponseServer server = new EarlyResponseServer(Http.okResponse(response));
-                NodeHarness harness = NodeHarness.withSilentDiscovery()) {
-            harness.observeOutcomes(outcome -> result.complete(outcome.result()));
+                NodeHarness harness = observedNode()) {
             harness.startWithList(NodeHarness.endpointList(1, true, "s0=" + server.endpoint() + "=Ready"));
             Socket client = harness.connect();
-            NodeHarness.write(client, orderWithOpenBody(body));
-            Http.Message head = Http.readHead(client.getInputStream());
+            Http.Message head = startResponse(client, orderWithOpenBody(body));
             NodeHarness.write(client, "z");
             harness.awaitEventLoop();
-            CompletableFuture<Boolean> ended = holdsBeforeLoss(harness, result);
+            CompletableFuture<Boolean> ended = endsBeforeLoss(harness);
             assertFalse(ended.get(20, TimeUnit.SECONDS), "the response was not open when its deadline passed");
             assertEquals(response.length(), Http.readBody(client.getInputStream(), head).length);
         }
@@ -185,12 +191,11 @@
     @Test
     void endlessLargeResponseEndsWithItsClientWhereAttemptsAreNotCancelled() throws Exception {
         try (FakeServer server = new FakeServer(endlessResponse(true, 2 * TransferLimits.MAX_BUFFERED_BYTES));
-                NodeHarness harness = NodeHarness.withSilentDiscovery()) {
+                NodeHarness harness = observedNode()) {
             harness.settings.cancellation = false;
             harness.start(server);
             Socket client = harness.connect();
-            NodeHarness.write(client, Http.pageRequest("/api/p", "t", "15000m"));
-            assertEquals(200, Http.readHead(client.getInputStream()).status());
+            startResponse(client, Http.pageRequest("/api/p", "t", "15000m"));
             client.close();
             FakeServer.awaitNext(server.closedConnections);
         } finally {
@@ -204,17 +209,13 @@
      */
     @Test
     void endlessResponseIsAbortedBeforeTheProcessIsKilled() throws Exception {
-        CompletableFuture<AttemptResult> result = new CompletableFuture<>();
         try (FakeServer server = new FakeServer(endlessResponse(true, 5));
-                NodeHarness harness = NodeHarness.withSilentDiscovery()) {
-            harness.observeOutcomes(outcome -> result.complete(outcome.result()));
+                NodeHarness harness = observedNode()) {
             harness.start(server);
             Socket client = harness.connect();
-            NodeHarness.write(client, Http.orderRequest("t", "60000m"));
-            Http.Message head = Http.readHead(client.getInputStream());
-            assertEquals(200, head.status());
+            Http.Message head = startResponse(client, Http.orderRequest("t", "60000m"));
             harness.drain();
-            CompletableFuture<Boolean> endedInTime = holdsAfter(harness, result, KILLED_AFTER_MS);
+            CompletableFuture<Boolean> endedInTime = endsWithin(harness, KILLED_AFTER_MS);
             assertTrue(endedInTime.get(20, TimeUnit.SECONDS), "the response was still open at SIGKILL");
             assertTruncated(client.getInputStream(), head);
         } finally {
@@ -240,8 +241,7 @@
                 });
                 NodeHarness harness = NodeHarness.withSilentDiscovery().start(server)) {
             Socket client = harness.connect();
-            NodeHarness.write(client, Http.pageRequest("/api/p", "t", DEADLINE_MS + "m"));
-            Http.Message head = Http.readHead(client.getInputStream());
+            Http.Message head = startResponse(client, Http.pageRequest("/api/p", "t", DEADLINE_MS + "m"));
             harness.loop.schedule(deadlinePassed::countDown, DEADLINE_MS, TimeUnit.MILLISECONDS);
             harness.loop.schedule(firstCheckPassed::countDown, DEADLINE_MS + LOST_AFTER_MS, TimeUnit.MILLISECONDS);
             String body = new String(Http.readBody(client.getInputStream(), head), StandardCharsets.US_ASCII);
