--- a/review/rig-2/GoneClient.java
+++ b/review/rig-2/GoneClient.java
@@ -34,7 +34,7 @@
         Rig2.Discovery discovery = new Rig2.Discovery(rig);
         for (int i = 0; i < SERVERS; i++) {
             Object core = new Object();
-            Rig2.AppServer server = new Rig2.AppServer(rig, "s-" + i, "ebene", 0, (self, request, connection) -> {
+            Rig2.AppServer server = new Rig2.AppServer(rig, "s-" + i, "ebene", (self, request, connection) -> {
                 String txn = request.header("X-Txn");
                 Double closed = closedAtMs.get(txn);
                 if (closed != null && request.firstByteMs - closed > LIMIT_MS) {
--- a/review/rig-2/PipelineOrder.java
+++ b/review/rig-2/PipelineOrder.java
@@ -27,7 +27,7 @@
         Rig2.Discovery discovery = new Rig2.Discovery(rig);
         for (int i = 0; i < SERVERS; i++) {
             SplittableRandom random = new SplittableRandom(i);
-            Rig2.AppServer server = new Rig2.AppServer(rig, "s-" + i, "ebene", 0, (self, request, connection) -> {
+            Rig2.AppServer server = new Rig2.AppServer(rig, "s-" + i, "ebene", (self, request, connection) -> {
                 long work;
                 synchronized (random) {
                     work = random.nextLong(4, 30);
--- a/review/rig-2/Rig2.java
+++ b/review/rig-2/Rig2.java
@@ -246,17 +246,33 @@
         /** While true, nothing is read from any connection and nothing is answered. */
         volatile boolean silent;
 
-        AppServer(Rig2 rig, String id, String zone, int receiveBuffer, Work work) throws IOException {
+        AppServer(Rig2 rig, String id, String zone, Work work) throws IOException {
+            this(rig, id, zone, work, 128);
+            takeConnections();
+        }
+
+        private AppServer(Rig2 rig, String id, String zone, Work work, int backlog) throws IOException {
             this.rig = rig;
             this.id = id;
             this.zone = zone;
             this.work = work;
-            listening = new ServerSocket();
-            if (receiveBuffer > 0) {
-                listening.setReceiveBufferSize(receiveBuffer);
-            }
-            listening.bind(new InetSocketAddress(loopback(), 0), 128);
+            listening = new ServerSocket(0, backlog, loopback());
             rig.open.add(this);
+        }
+
+        /**
+         * Returns an app server whose connections come up late: its backlog is full until {@link #takeConnections}. The
+         * system tries a connection again 1 s after the first time.
+         */
+        static AppServer late(Rig2 rig, String id, String zone, Work work) throws IOException {
+            AppServer server = new AppServer(rig, id, zone, work, 1);
+            for (int i = 0; i < 2; i++) {
+                server.sockets.add(new Socket(loopback(), server.listening.getLocalPort()));
+            }
+            return server;
+        }
+
+        void takeConnections() {
             daemon(id, this::accept);
         }
 
@@ -455,31 +471,21 @@
         private final Process process;
         private final Path folder;
 
-        Node(String name, String config, int port, int controlPort, Path sharedFolder, ProcessBuilder.Redirect input)
-                throws Exception {
+        Node(String name, String config, int port, int controlPort) throws Exception {
             this.name = name;
             this.port = port;
             this.controlPort = controlPort;
             folder = Files.createDirectories(temporary.resolve(name));
-            Path shared = sharedFolder == null ? Files.createDirectories(folder.resolve("tmp")) : sharedFolder;
+            Path shared = Files.createDirectories(folder.resolve("tmp"));
             Path file = folder.resolve("config.json");
             Files.writeString(file, config);
-            Matcher run = Pattern.compile("(?m)^run\\s*=\\s*\"(.*)\"\\s*(#.*)?$")
-                    .matcher(Files.readString(Path.of("deploy/balancer.toml")));
-            if (!run.find()) {
-                throw new IOException("deploy file without run");
-            }
-            ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run.group(1));
+            ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", runCommand());
             builder.environment().remove("JAVA_TOOL_OPTIONS");
             builder.environment().put("PROXY_NAME", name);
             builder.environment().put("PROXY_LISTEN", "127.0.0.1:" + port);
             builder.environment().put("PROXY_CONTROL", "127.0.0.1:" + controlPort);
             builder.environment().put("PROXY_CONFIG", file.toString());
             builder.environment().put("TMPDIR", shared.toString());
-            if (input != null) {
-                builder.environment().put("PROXY_SOCKET_FD", "0");
-                builder.redirectInput(input);
-            }
             File logFile = folder.resolve("log.txt").toFile();
             builder.redirectErrorStream(true).redirectOutput(logFile);
             process = builder.start();
@@ -548,12 +554,146 @@
         }
     }
 
+    // ---------------------------------------------------------------- the platform that replaces processes
+
+    /**
+     * The platform on a day on which it replaces processes: it holds the clients' listening socket, which each process
+     * of the node inherits as descriptor 0, with the same folder for temporary files. In Perl, as Java cannot hand a
+     * socket on.
+     */
+    final class Platform implements AutoCloseable {
+        private static final String PROGRAM = """
+                use Socket; use POSIX (); $| = 1; $SIG{CHLD} = 'IGNORE';
+                socket(my $held, PF_INET, SOCK_STREAM, 0) or die;
+                bind($held, sockaddr_in(0, INADDR_LOOPBACK)) or die;
+                listen($held, 128) or die;
+                print((sockaddr_in(getsockname($held)))[0], "\\n");
+                while (my $line = <STDIN>) {
+                  chomp $line; my ($log, $control, @program) = split /\\t/, $line; my $pid = fork;
+                  if (!$pid) {
+                    open(STDOUT, '>', $log); open(STDERR, '>&', STDOUT); POSIX::dup2(fileno($held), 0);
+                    $ENV{PROXY_CONTROL} = $control; exec @program or die;
+                  }
+                  print "$pid\\n";
+                }
+                """;
+
+        final int port;
+        private final Process perl;
+        private final Path folder;
+        private final List<Path> logs = new ArrayList<>();
+
+        Platform(String config) throws Exception {
+            folder = Files.createDirectories(temporary.resolve("platform"));
+            Path file = folder.resolve("config.json");
+            Files.writeString(file, config);
+            ProcessBuilder builder = new ProcessBuilder("perl", "-e", PROGRAM);
+            builder.environment().remove("JAVA_TOOL_OPTIONS");
+            builder.environment().put("PROXY_CONFIG", file.toString());
+            builder.environment().put("PROXY_SOCKET_FD", "0");
+            builder.environment()
+                    .put("TMPDIR", Files.createDirectories(folder.resolve("tmp")).toString());
+            perl = builder.redirectError(ProcessBuilder.Redirect.DISCARD).start();
+            processes.add(perl.toHandle());
+            open.add(this);
+            port = Integer.parseInt(perl.inputReader().readLine());
+        }
+
+        /** Starts a process of the node by the deploy file's run; returns it with its control address. */
+        Member start(String name) throws Exception {
+            int control = freePort();
+            Path logFile = folder.resolve(name + ".log");
+            logs.add(logFile);
+            perl.outputWriter().write(logFile + "\t127.0.0.1:" + control + "\t/bin/sh\t-c\t" + runCommand() + "\n");
+            perl.outputWriter().flush();
+            ProcessHandle process =
+                    ProcessHandle.of(Long.parseLong(perl.inputReader().readLine())).orElseThrow();
+            processes.add(process);
+            log(name, "started, pid " + process.pid());
+            return new Member(name, process, control);
+        }
+
+        @Override
+        public void close() throws Exception {
+            perl.destroyForcibly();
+            for (Path file : logs) {
+                if (Files.exists(file)) {
+                    for (String line : Files.readString(file).split("\n")) {
+                        log(file.getFileName().toString(), line);
+                    }
+                }
+            }
+        }
+    }
+
+    /** A process of the node that the platform has started. */
+    final class Member {
+        final String name;
+        final ProcessHandle process;
+        private final int control;
+
+        Member(String name, ProcessHandle process, int control) {
+            this.name = name;
+            this.process = process;
+            this.control = control;
+            open.add(process::destroyForcibly);
+        }
+
+        /** Makes a call at the control address; returns the answer. */
+        String call(String line) throws IOException {
+            try (Socket socket = new Socket(loopback(), control)) {
+                socket.setSoTimeout(3_000);
+                socket.getOutputStream().write(bytes(line + "\n"));
+                return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1).strip();
+            }
+        }
+
+        /** Waits until an answer comes at the control address. */
+        void awaitControl() throws IOException {
+            await("");
+        }
+
+        /** Waits until the process serves clients. */
+        void awaitServing() throws IOException {
+            await("YES");
+        }
+
+        private void await(String beginning) throws IOException {
+            double until = ms() + 30_000;
+            while (ms() < until && process.isAlive()) {
+                try {
+                    if (call("health").startsWith(beginning)) {
+                        return;
+                    }
+                } catch (IOException e) {
+                    // Not yet.
+                }
+                sleep(2);
+            }
+            throw new IOException(name + " does not answer, or has ended");
+        }
+
+        void signal(String signal) throws Exception {
+            log(name, "SIG" + signal);
+            new ProcessBuilder("/bin/sh", "-c", "kill -" + signal + " " + process.pid()).start().waitFor();
+        }
+    }
+
+    private static String runCommand() throws IOException {
+        Matcher run = Pattern.compile("(?m)^run\\s*=\\s*\"(.*)\"\\s*(#.*)?$")
+                .matcher(Files.readString(Path.of("deploy/balancer.toml")));
+        if (!run.find()) {
+            throw new IOException("deploy file without run");
+        }
+        return run.group(1);
+    }
+
     Path temporary() {
         return temporary;
     }
 
     Node startNode(String config) throws Exception {
-        Node node = new Node("n1", config, freePort(), freePort(), null, null);
+        Node node = new Node("n1", config, freePort(), freePort());
         node.awaitUp();
         return node;
     }
--- a/review/rig-2/SilentUpload.java
+++ b/review/rig-2/SilentUpload.java
@@ -28,7 +28,7 @@
         Rig2.Discovery discovery = new Rig2.Discovery(rig);
         List<Rig2.AppServer> servers = new ArrayList<>();
         for (int i = 0; i < SERVERS; i++) {
-            servers.add(new Rig2.AppServer(rig, "s-" + i, "ebene", 0, (self, request, connection) -> {
+            servers.add(new Rig2.AppServer(rig, "s-" + i, "ebene", (self, request, connection) -> {
                 Rig2.sleep(100);
                 return "done " + request.header("X-Txn");
             }));
