Close idle connections 0.5 s after SIGTERM, stream no response to later requests

Cause: the delay assumed that what still comes takes less than 0.8 s. That is unknown when a request is taken. The times of the drain also began after the membership was left, while the platform counts from the signal, and a connection whose response had started before SIGTERM stayed open for good.

Change: connections without a request are closed 0.5 s after the signal, also those that a response leaves without one later; a request that is whole only after that gets a buffered response, or 502 in place of a streamed one. An exchange that ends as its response starts to be streamed is now looked for in ResponseReader and ServerConnection.

--- a/node/src/main/java/loadbalancer/client/ClientConnection.java
+++ b/node/src/main/java/loadbalancer/client/ClientConnection.java
@@ -11,7 +11,6 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import loadbalancer.common.Log;
-import loadbalancer.eventloop.LoopLagMeter;
 import loadbalancer.http.HttpBodies;
 import loadbalancer.transfer.FlowControl;
 
@@ -44,31 +43,7 @@
         void onClientGone();
     }
 
-    /** The server that accepted the connection. */
-    interface Owner {
-        /** Measures how long received bytes may have waited in the sockets before they were read. */
-        LoopLagMeter lagMeter();
-
-        /** Returns the reader for the heads of new requests. */
-        RequestReader reader();
-
-        /** Returns whether the server drains: responses close their connections unless requests are pipelined. */
-        boolean isDraining();
-
-        /** Returns the status of the response to a readiness check. */
-        HttpResponseStatus readiness();
-
-        /** The client has started a request, which makes its connection the most recently used one. */
-        void onRequestStarted(ClientConnection client);
-
-        /** A request is ready to be served. The owner is responsible for exactly one response to it. */
-        void onRequest(ClientConnection client, ClientRequest request);
-
-        /** Called when the connection has closed. */
-        void onClosed(ClientConnection client);
-    }
-
-    private final Owner owner;
+    private final ClientConnectionOwner owner;
     private final SocketChannel channel;
     private final StrictServerCodec codec;
     private final ConnectionState state = new ConnectionState();
@@ -87,7 +62,7 @@
     /** Set by the handler of the open request; null if there is none or its whole response has been passed on. */
     private CloseListener closeListener;
 
-    ClientConnection(SocketChannel channel, StrictServerCodec codec, Owner owner) {
+    ClientConnection(SocketChannel channel, StrictServerCodec codec, ClientConnectionOwner owner) {
         this.channel = channel;
         this.codec = codec;
         this.owner = owner;
@@ -298,7 +273,7 @@
             return;
         }
         assembler.clearHead();
-        if (!state.isKeepAlive()) {
+        if (!state.isKeepAlive() || isQuiescent() && !owner.keepsQuiescentConnections()) {
             shutDown();
         } else if (!pipelined.isEmpty()) {
             channel.eventLoop().execute(this::servePipelined);
--- /dev/null
+++ b/node/src/main/java/loadbalancer/client/ClientConnectionOwner.java
@@ -0,0 +1,31 @@
+package loadbalancer.client;
+
+import io.netty.handler.codec.http.HttpResponseStatus;
+import loadbalancer.eventloop.LoopLagMeter;
+
+/** The server that accepted a client's connection. All methods are called on the event loop. */
+interface ClientConnectionOwner {
+    /** Measures how long received bytes may have waited in the sockets before they were read. */
+    LoopLagMeter lagMeter();
+
+    /** Returns the reader for the heads of new requests. */
+    RequestReader reader();
+
+    /** Returns whether the server drains: responses close their connections unless requests are pipelined. */
+    boolean isDraining();
+
+    /** Returns whether a connection may stay open although no part of a request has arrived on it. */
+    boolean keepsQuiescentConnections();
+
+    /** Returns the status of the response to a readiness check. */
+    HttpResponseStatus readiness();
+
+    /** The client has started a request, which makes its connection the most recently used one. */
+    void onRequestStarted(ClientConnection client);
+
+    /** A request is ready to be served. The owner is responsible for exactly one response to it. */
+    void onRequest(ClientConnection client, ClientRequest request);
+
+    /** Called when the connection has closed. */
+    void onClosed(ClientConnection client);
+}
--- a/node/src/main/java/loadbalancer/client/ClientServer.java
+++ b/node/src/main/java/loadbalancer/client/ClientServer.java
@@ -27,7 +27,7 @@
  * process continues to accept on the same socket. {@link #listen} may be called from any thread, all other methods only
  * on the event loop.
  */
-public final class ClientServer implements ClientConnection.Owner {
+public final class ClientServer implements ClientConnectionOwner {
     /** Handles the requests of all clients. */
     public interface RequestHandler {
         /**
@@ -38,12 +38,6 @@
         void onRequest(ClientConnection client, ClientRequest request);
     }
 
-    /**
-     * On the platform, new connections arrive for up to 0.4 s after SIGTERM; the other 0.1 s covers those being
-     * established.
-     */
-    private static final long ACCEPT_WHILE_DRAINING_MS = 500;
-
     private final MeasuredEventLoop loop;
     private RequestReader reader;
     private final SocketBudget sockets;
@@ -58,6 +52,8 @@
     private boolean draining;
     /** Whether accepting has stopped for good. */
     private boolean acceptingEnded;
+    /** Whether connections without a request are closed instead of kept alive. */
+    private boolean closingQuiescent;
 
     private Runnable onDrained = () -> {};
 
@@ -147,10 +143,10 @@
     /**
      * Shuts down gracefully if other processes accept on the same socket. They accept the connections that are still
      * queued on it, so this process stops accepting immediately. Each response closes its connection unless requests
-     * are pipelined. Idle connections stay open for {@code idleMs}, in which a request on them can still be served: a
-     * request that arrives as its connection is being closed would be lost.
+     * are pipelined. Connections without a request stay open for {@code idleMs} more, in which a request on them is
+     * still served, and are then closed.
      *
-     * @param idleMs how long idle connections stay open, in milliseconds
+     * @param idleMs how long connections without a request stay open, in milliseconds
      * @param drained called once no connection is left
      */
     public void drainForHandover(long idleMs, Runnable drained) {
@@ -164,22 +160,24 @@
     }
 
     /**
-     * Shuts down the connections without a request. Those on which a part of a request has arrived stay open: the
-     * response to that request closes them.
+     * Shuts down the connections without a request, now and whenever a response leaves one without. Those on which a
+     * part of a request has arrived stay open: the response to that request closes them.
      */
     private void shutDownQuiescent() {
+        closingQuiescent = true;
         new ArrayList<>(clients).stream().filter(ClientConnection::isQuiescent).forEach(ClientConnection::shutDown);
     }
 
     /**
      * Shuts down gracefully if the node goes away. Readiness checks fail from now on unless the socket is inherited,
      * and each response closes its connection unless requests are pipelined. New connections, which the balancer in
-     * front of the node still opens for a while, are accepted for {@link #ACCEPT_WHILE_DRAINING_MS} more; then the
-     * listening socket and the idle connections are closed.
+     * front of the node still opens for a while, are accepted for {@code acceptMs} more; then the listening socket and
+     * the connections without a request are closed.
      *
+     * @param acceptMs how long connections are accepted, in milliseconds
      * @param drained called once no connection is left and no new one can be accepted
      */
-    public void drain(Runnable drained) {
+    public void drain(long acceptMs, Runnable drained) {
         draining = true;
         onDrained = drained;
         loop.schedule(
@@ -188,7 +186,7 @@
                     shutDownQuiescent();
                     notifyIfDrained();
                 }),
-                ACCEPT_WHILE_DRAINING_MS,
+                acceptMs,
                 TimeUnit.MILLISECONDS);
     }
 
@@ -204,7 +202,7 @@
         }
     }
 
-    // ---------------------------------------------------------------- ClientConnection.Owner
+    // ---------------------------------------------------------------- ClientConnectionOwner
 
     @Override
     public LoopLagMeter lagMeter() {
@@ -221,6 +219,11 @@
         return draining;
     }
 
+    @Override
+    public boolean keepsQuiescentConnections() {
+        return !closingQuiescent;
+    }
+
     @Override
     public HttpResponseStatus readiness() {
         return draining && !socketShared ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK;
--- a/node/src/main/java/loadbalancer/client/RequestAssembler.java
+++ b/node/src/main/java/loadbalancer/client/RequestAssembler.java
@@ -59,7 +59,7 @@
     private final SocketChannel channel;
     private final ConnectionState state;
     private final PipelinedMessages pipelined;
-    private final ClientConnection.Owner owner;
+    private final ClientConnectionOwner owner;
     private final Listener listener;
 
     /** The head of the current request; null if the node itself responds to it, and between requests. */
@@ -83,7 +83,7 @@
             SocketChannel channel,
             ConnectionState state,
             PipelinedMessages pipelined,
-            ClientConnection.Owner owner,
+            ClientConnectionOwner owner,
             Listener listener) {
         this.channel = channel;
         this.state = state;
--- a/node/src/main/java/loadbalancer/process/Node.java
+++ b/node/src/main/java/loadbalancer/process/Node.java
@@ -152,12 +152,13 @@
     /**
      * Reports that the node is no longer ready, and drains it as {@link GracefulShutdown} describes.
      *
+     * @param signalledAtNanos when the process got SIGTERM, by {@link System#nanoTime}
      * @param onDrained called on the event loop once no client is connected and the node no longer accepts connections
      */
-    void drain(Runnable onDrained) {
+    void drain(long signalledAtNanos, Runnable onDrained) {
         loop.execute(() -> {
             controlCalls.setReady(false);
-            shutdown.begin(onDrained);
+            shutdown.begin(signalledAtNanos, onDrained);
         });
     }
 
--- a/node/src/main/java/loadbalancer/process/ProcessLifecycle.java
+++ b/node/src/main/java/loadbalancer/process/ProcessLifecycle.java
@@ -98,11 +98,12 @@
 
     /** Leaves the membership first, because the next process of the node waits for the membership address. */
     private void leaveAndDrain(Runnable leaveMembership) {
+        long signalledAtNanos = System.nanoTime();
         if (leaveMembership != null) {
             leaveMembership.run();
         }
         CountDownLatch drained = new CountDownLatch(1);
-        node.drain(drained::countDown);
+        node.drain(signalledAtNanos, drained::countDown);
         try {
             drained.await();
         } catch (InterruptedException e) {
--- a/node/src/main/java/loadbalancer/request/ProxiedRequest.java
+++ b/node/src/main/java/loadbalancer/request/ProxiedRequest.java
@@ -27,29 +27,19 @@
  * <p>All methods are called on the event loop.
  */
 final class ProxiedRequest implements ClientConnection.CloseListener, PolicyEventQueue.FailureHandler {
-    /** Notified of the state changes of requests. */
-    interface Listener {
-        /** The request has arrived in full. */
-        void onReceived(ProxiedRequest request);
-
-        /** The request is about to end, by its final response or because its client has left. Called once. */
-        void onEnding(ProxiedRequest request);
-
-        /** The request has ended and has no open attempts left. */
-        void onFinished(ProxiedRequest request);
-    }
-
     private final long id;
     private final ClientRequest request;
     private final ClientConnection client;
     private final String className;
     private final int maxAttempts;
-    private final Listener listener;
+    private final ProxiedRequestListener listener;
     private final RequestServices services;
 
     private RequestState state = RequestState.RECEIVING;
     /** The latest time for the response; {@link Long#MAX_VALUE} until the request has arrived in full. */
     private long deadlineUs = Long.MAX_VALUE;
+    /** When its last byte was read; 0 until then. */
+    private long readAtUs;
 
     private final List<UpstreamAttempt> attempts = new ArrayList<>(1);
     /** The number of attempts whose outcome has not been reported to the balancer. */
@@ -66,7 +56,7 @@
             ClientConnection client,
             String className,
             int maxAttempts,
-            Listener listener,
+            ProxiedRequestListener listener,
             RequestServices services) {
         this.id = id;
         this.request = request;
@@ -100,6 +90,11 @@
         return deadlineUs;
     }
 
+    /** Returns when the last byte of the request was read, which may be later than its arrival. */
+    long readAtUs() {
+        return readAtUs;
+    }
+
     boolean isReceived() {
         return state.isReceived();
     }
@@ -157,6 +152,7 @@
     void setReceived(long newDeadlineUs) {
         state = state.received();
         deadlineUs = newDeadlineUs;
+        readAtUs = services.clock().nowUs();
         attempts.stream().filter(attempt -> !attempt.isEnded()).forEach(UpstreamAttempt::onRequestReceived);
     }
 
@@ -213,12 +209,18 @@
     }
 
     /**
-     * Starts to stream the response to this attempt. Returns whether it goes to the client: only the first one does.
+     * Starts to stream the response to this attempt. Returns whether it goes to the client: only the first one does. If
+     * no response may be streamed, the request fails.
      */
     boolean startResponse(UpstreamAttempt attempt, long length, FlowControl source) {
         if (isEnded() || streamingAttempt != null) {
             return false;
         }
+        if (!listener.mayStreamResponse(this)) {
+            respond(HttpResponseStatus.BAD_GATEWAY, HttpBodies.EMPTY, 0);
+            withdrawFromBalancer();
+            return false;
+        }
         streamingAttempt = attempt;
         client.startResponse(length, source);
         return true;
--- a/node/src/main/java/loadbalancer/request/RequestTable.java
+++ b/node/src/main/java/loadbalancer/request/RequestTable.java
@@ -20,7 +20,7 @@
  * and the outcome of each attempt has been reported to the balancer. The actions of the balancer are passed to the
  * request by its id. All methods are called on the event loop.
  */
-public final class RequestTable implements ClientServer.RequestHandler, ProxiedRequest.Listener {
+public final class RequestTable implements ClientServer.RequestHandler, ProxiedRequestListener {
     private static final long MICROS_PER_MILLI = 1_000;
 
     /**
@@ -38,6 +38,8 @@
 
     private long lastId;
     private long shutdownDeadlineUs = Long.MAX_VALUE;
+    /** Responses are streamed only to requests that have arrived in full by then. */
+    private long streamedUntilUs = Long.MAX_VALUE;
 
     /** @param registry supplies the current request classes when a request arrives */
     public RequestTable(RequestServices services, Supplier<ClassRegistry> registry) {
@@ -51,10 +53,14 @@
     }
 
     /**
-     * Limits the deadlines of requests that arrive, or whose bodies end, from now on to this time, at which
-     * {@link #failPending} will be called.
+     * Prepares for the end of the process. Requests that arrive, or whose bodies end, from now on have to be answered
+     * by the shutdown deadline, at which {@link #failPending} will be called.
+     *
+     * @param graceEndsAtUs requests that arrive in full later get a buffered response or an error
+     * @param deadlineUs the shutdown deadline
      */
-    public void setShutdownDeadline(long deadlineUs) {
+    public void setShutdown(long graceEndsAtUs, long deadlineUs) {
+        streamedUntilUs = graceEndsAtUs;
         shutdownDeadlineUs = deadlineUs;
     }
 
@@ -116,6 +122,13 @@
         }
     }
 
+    @Override
+    public boolean mayStreamResponse(ProxiedRequest request) {
+        long readAtUs =
+                request.isReceived() ? request.readAtUs() : services.clock().nowUs();
+        return readAtUs <= streamedUntilUs;
+    }
+
     @Override
     public void onEnding(ProxiedRequest request) {
         pendingCount -= request.isReceived() ? 1 : 0;
--- a/node/src/main/java/loadbalancer/upstream/ResponseReader.java
+++ b/node/src/main/java/loadbalancer/upstream/ResponseReader.java
@@ -89,13 +89,19 @@
                 && HttpUtil.isKeepAlive(response);
     }
 
-    /** Reads a part of the body. The body of an error response is dropped, as it is not forwarded to clients. */
+    /**
+     * Reads a part of the body. The body of an error response is dropped, as it is not forwarded to clients. The
+     * exchange may end within this call, as the response starts to be streamed.
+     */
     void readContent(ByteBuf part) {
         if (head.status().code() != OK) {
             return;
         }
         if (!streaming && isTooLargeToBuffer(part)) {
             startStreaming();
+            if (exchange == null) {
+                return;
+            }
         }
         if (streaming) {
             exchange.onResponsePart(part.retain());
@@ -116,10 +122,15 @@
     private void startStreaming() {
         cancelBufferingTimeout();
         streaming = true;
+        ByteBuf first = buffered;
+        buffered = null;
         notifyOfLoadReport();
         exchange.onResponseStarted(length(), source);
-        exchange.onResponsePart(buffered);
-        buffered = null;
+        if (exchange == null) {
+            first.release();
+            return;
+        }
+        exchange.onResponsePart(first);
         exchange.onResponseReadComplete();
     }
 
--- a/node/src/main/java/loadbalancer/upstream/ServerConnection.java
+++ b/node/src/main/java/loadbalancer/upstream/ServerConnection.java
@@ -224,7 +224,7 @@
         if (message instanceof HttpContent content && content.content().isReadable()) {
             reader.readContent(content.content());
         }
-        if (message instanceof LastHttpContent && !reader.isInformational()) {
+        if (exchange != null && message instanceof LastHttpContent && !reader.isInformational()) {
             endResponse();
         }
     }
--- a/node/src/test/java/loadbalancer/process/ClientServerTest.java
+++ b/node/src/test/java/loadbalancer/process/ClientServerTest.java
@@ -220,7 +220,7 @@
             NodeHarness.write(client, Http.pageRequest("/api/x", "t", "5000m"));
             assertTrue(requestReceived.await(20, TimeUnit.SECONDS));
             CountDownLatch drained = new CountDownLatch(1);
-            harness.node.drain(drained::countDown);
+            harness.node.drain(System.nanoTime(), drained::countDown);
             Http.Message up = harness.exchange("GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
             assertEquals(503, up.status());
             assertEquals("close", up.headers().get("connection"));
--- a/node/src/test/java/loadbalancer/process/ControlServerTest.java
+++ b/node/src/test/java/loadbalancer/process/ControlServerTest.java
@@ -34,7 +34,7 @@
             harness.listen();
             assertEquals("YES\n", harness.controlCall("health\n"));
             assertEquals("YES\n", harness.controlCall("health\r\n"));
-            harness.node.drain(() -> {});
+            harness.node.drain(System.nanoTime(), () -> {});
             assertEquals("NO not serving\n", harness.controlCall("health\n"));
         }
     }
--- a/node/src/test/java/loadbalancer/process/GracefulShutdownTest.java
+++ b/node/src/test/java/loadbalancer/process/GracefulShutdownTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -16,6 +17,10 @@
 class GracefulShutdownTest {
     private static final String ORDER = Http.orderRequest("t", "15000m");
     private static final String PAGE = Http.pageRequest("/api/p", "t", "15000m");
+    private static final byte[] LARGE_BODY = new byte[1_000_000];
+    /** After this time, the platform counts each request that SIGKILL finds without a whole response as lost. */
+    private static final long MUST_BE_ANSWERED_AFTER_MS = 700;
+
     private static final String PIPELINED = Http.pageRequest("a") + Http.pageRequest("b");
 
     /**
@@ -222,6 +227,105 @@
         }
     }
 
+    /**
+     * Guards against a request that SIGKILL cuts off: a process that is being replaced took requests on idle
+     * connections until shortly before its end and started responses that had no time to end. It must close them while
+     * such a request may still be cut off.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void idleConnectionIsClosedBeforeItsRequestsMustBeAnsweredInFull(boolean handsOver) throws Exception {
+        try (FakeServer server = FakeServer.respondingWith("x");
+                NodeHarness harness = NodeHarness.withSilentDiscovery()) {
+            harness.handsOverListener = handsOver;
+            harness.start(server);
+            Socket client = harness.connect();
+            assertEquals(
+                    200, NodeHarness.exchange(client, Http.pageRequest("t")).status());
+            harness.drain();
+            CountDownLatch tooLate = new CountDownLatch(1);
+            harness.loop.schedule(tooLate::countDown, MUST_BE_ANSWERED_AFTER_MS, TimeUnit.MILLISECONDS);
+            assertEquals(-1, client.getInputStream().read());
+            assertEquals(1, tooLate.getCount(), "the idle connection was still open");
+        }
+    }
+
+    /**
+     * Guards against a drain that is late by the time that the process needs to leave the membership: the platform
+     * counts from the signal.
+     */
+    @Test
+    void timesOfTheDrainCountFromTheSignal() throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        try (FakeServer server = new FakeServer((request, connection) -> FakeServer.awaitLatch(never));
+                NodeHarness harness = NodeHarness.withSilentDiscovery().start(server)) {
+            Socket client = harness.connect();
+            NodeHarness.write(client, Http.orderRequest("out", "60000m"));
+            FakeServer.awaitNext(server.requests);
+            long signalledAtNanos = System.nanoTime() - TimeUnit.SECONDS.toNanos(2);
+            harness.node.drain(signalledAtNanos, () -> {});
+            CountDownLatch killed = new CountDownLatch(1);
+            harness.loop.schedule(killed::countDown, 3_700 - 2_000, TimeUnit.MILLISECONDS);
+            assertEquals(502, Http.readMessage(client.getInputStream()).status());
+            assertEquals(1, killed.getCount(), "no response before SIGKILL");
+            never.countDown();
+        }
+    }
+
+    /**
+     * Guards against a response that SIGKILL cuts off, to a request that the client completes so late that it has to be
+     * answered in full. The node cannot know how long a large response takes, so it must not start one.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void largeResponseIsNotStartedWhenItMayOutlastTheProcess(boolean chunked) throws Exception {
+        String body = new String(LARGE_BODY, StandardCharsets.US_ASCII);
+        String response = chunked
+                ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + NodeHarness.chunk(body) + "0\r\n\r\n"
+                : Http.okResponse(body);
+        try (FakeServer server = new FakeServer((request, connection) -> connection.write(response));
+                NodeHarness harness = NodeHarness.withSilentDiscovery().start(server)) {
+            Socket client = harness.connect();
+            NodeHarness.write(client, ORDER.substring(0, ORDER.length() - 1));
+            harness.awaitEventLoop();
+            CountDownLatch drained = drainPastIdleClose(harness);
+            NodeHarness.write(client, ORDER.substring(ORDER.length() - 1));
+            Http.Message rejection = Http.readMessage(client.getInputStream());
+            assertEquals(502, rejection.status());
+            assertEquals("close", rejection.headers().get("connection"));
+            assertEquals(-1, client.getInputStream().read());
+            client.close();
+            assertTrue(drained.await(20, TimeUnit.SECONDS));
+        }
+    }
+
+    /**
+     * Guards against requests that a node takes until it is killed: a response that started before SIGTERM, without
+     * Connection: close, ends after the idle connections are closed. Its connection must be closed then.
+     */
+    @Test
+    void connectionIsClosedAfterAResponseThatStartedBeforeSigterm() throws Exception {
+        CountDownLatch draining = new CountDownLatch(1);
+        String half = "a".repeat(100_000);
+        try (FakeServer server = new FakeServer((request, connection) -> {
+                    connection.write("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + half);
+                    FakeServer.awaitLatch(draining);
+                    connection.write(half);
+                });
+                NodeHarness harness = NodeHarness.withSilentDiscovery().start(server)) {
+            Socket client = harness.connect();
+            NodeHarness.write(client, PAGE);
+            Http.Message head = Http.readHead(client.getInputStream());
+            CountDownLatch drained = drainPastIdleClose(harness);
+            draining.countDown();
+            assertEquals(200_000, Http.readBody(client.getInputStream(), head).length);
+            client.setSoTimeout(5_000);
+            assertEquals(-1, client.getInputStream().read());
+            client.close();
+            assertTrue(drained.await(20, TimeUnit.SECONDS));
+        }
+    }
+
     /** Drains the node and waits until it has closed its idle connections. */
     private static CountDownLatch drainPastIdleClose(NodeHarness harness) throws Exception {
         Socket idle = harness.connect();
@@ -230,7 +334,7 @@
                 NodeHarness.exchange(idle, Http.pageRequest("/nothing", "u", "1m"))
                         .status());
         CountDownLatch drained = new CountDownLatch(1);
-        harness.node.drain(drained::countDown);
+        harness.node.drain(System.nanoTime(), drained::countDown);
         assertEquals(-1, idle.getInputStream().read());
         idle.close();
         return drained;
--- a/node/src/test/java/loadbalancer/process/NodeHarness.java
+++ b/node/src/test/java/loadbalancer/process/NodeHarness.java
@@ -44,6 +44,9 @@
     /** Whether the node has a control address. */
     boolean hasControl;
 
+    /** Whether the node behaves as if its listening socket were inherited. */
+    boolean handsOverListener;
+
     /** The folder that the node shares with other processes of the same node; null if there is none. */
     Path sharedFolder;
 
@@ -135,7 +138,7 @@
                 new EndpointListDecoder(settings.zones).decode(new ObjectMapper().readTree(initialList)),
                 settings,
                 configuredKeys,
-                new OperationsConfig(hasControl ? anyPort() : null, sharedFolder, false),
+                new OperationsConfig(hasControl ? anyPort() : null, sharedFolder, handsOverListener),
                 null);
     }
 
@@ -170,7 +173,7 @@
     /** Starts the graceful shutdown. The latch is counted down once the node has drained. */
     CountDownLatch drain() {
         CountDownLatch drained = new CountDownLatch(1);
-        node.drain(drained::countDown);
+        node.drain(System.nanoTime(), drained::countDown);
         return drained;
     }
 
