Read ahead of paused input to notice that its client has left

What callers saw: requests ran that nobody waited for.

Cause: the end of a stream is noticed only by reading up to it, and the node pauses reading while a large body waits or 64 KiB of requests are queued. An attempt that waited for its connection began whatever its client did, where the settings do not allow to cancel.

Change: ReadAheadHandler, the first handler of a client's pipeline, reads on after 50 ms and holds the bytes undecoded, within an account of an eighth of the heap for all connections. Input that waited carries the earliest time at which it may have arrived (ArrivalEstimator, SO_RCVBUF set). Not taken: peeking (the JDK cannot), reading without a delay, which would let a client run far ahead of a slow server.

--- a/node/src/main/java/loadbalancer/client/ClientConnection.java
+++ b/node/src/main/java/loadbalancer/client/ClientConnection.java
@@ -24,9 +24,9 @@
  *
  * <p>A half-closed connection is not kept open. {@code ChannelOption.ALLOW_HALF_CLOSURE} is off, so Netty closes the
  * channel when it reads the end of the client's stream, even if the client has shut down only its output and still
- * waits for a response. The end of the stream is noticed only while the channel is being read. While reading is paused,
- * because the queue of pipelined requests is full or a streamed body must wait, the connection stays open until reading
- * resumes, a write fails or {@link ConnectionTimeouts} finds it overdue. When the channel becomes inactive, the {@link
+ * waits for a response. The end of the stream is noticed only by reading up to it. While the input is paused, because
+ * the queue of pipelined requests is full or a streamed body must wait, {@link ReadAheadHandler} does that. When the
+ * channel becomes inactive, the {@link
  * CloseListener} of the open request is notified, and pipelined requests are dropped without being sent to a server.
  *
  * <p>All methods are called on the event loop. This handler releases the inbound messages that it reads. The channel
@@ -48,6 +48,7 @@
     private final StrictServerCodec codec;
     private final ConnectionState state = new ConnectionState();
     private final PipelinedMessages pipelined = new PipelinedMessages();
+    private final ReadAheadHandler readAhead;
     private final RequestAssembler assembler;
     private final ResponseWriter writer;
     private final ConnectionTimeouts timeouts;
@@ -66,7 +67,8 @@
         this.channel = channel;
         this.codec = codec;
         this.owner = owner;
-        assembler = new RequestAssembler(channel, state, pipelined, owner, new AssemblerListener());
+        readAhead = new ReadAheadHandler(owner.readAheadBudget(), this::isReadAheadUseful, this::earliestArrivalNanos);
+        assembler = new RequestAssembler(channel, readAhead, state, pipelined, owner, new AssemblerListener());
         writer = new ResponseWriter(channel, state, written -> onResponseWritten());
         timeouts = new ConnectionTimeouts(state, assembler, writer);
         lingeringClose = new LingeringClose(channel);
@@ -79,7 +81,21 @@
      * is not idle: closing it again would free no further socket.
      */
     boolean isIdle() {
-        return !state.isServing() && pipelined.isEmpty() && channel.isOpen();
+        return !state.isServing() && !hasPipelinedInput() && channel.isOpen();
+    }
+
+    private boolean hasPipelinedInput() {
+        return !pipelined.isEmpty() || !readAhead.isEmpty();
+    }
+
+    /** Returns the handler that reads ahead, which is the first one in the pipeline. */
+    ReadAheadHandler readAhead() {
+        return readAhead;
+    }
+
+    /** Returns whether to read ahead: not while the client is to be slowed down to the pace of a server. */
+    private boolean isReadAheadUseful() {
+        return !assembler.isBodyCommitted();
     }
 
     /** Returns whether the connection is idle and not even a part of a request has arrived. */
@@ -100,7 +116,10 @@
     /** Closes the connection gracefully: pipelined requests are dropped, responses in transit still arrive. */
     void shutDown() {
         state.disableKeepAlive();
-        lingeringClose.start(pipelined::release);
+        lingeringClose.start(() -> {
+            pipelined.release();
+            readAhead.discardAndResume();
+        });
     }
 
     /**
@@ -127,21 +146,19 @@
         if (!state.isKeepAlive() && !state.isReceiving()) {
             return;
         }
-        long arrivedAtNanos = earliestArrivalNanos();
         if (state.isRequestReceived()) {
-            // A pipelined request. Reads on until the queue is full, as a disconnect is noticed only while reading.
-            pipelined.add(part, arrivedAtNanos);
+            pipelined.add(part, readAhead.arrivedAtNanos());
             if (pipelined.isFull()) {
-                channel.config().setAutoRead(false);
+                readAhead.pause();
             }
             return;
         }
-        assembler.read(part, arrivedAtNanos);
+        assembler.read(part, readAhead.arrivedAtNanos());
     }
 
     /**
-     * Returns the earliest time at which the current message may have arrived. Data that is read no later than one turn
-     * after the accept may have arrived together with the connection.
+     * Returns the earliest time at which the bytes that are read now may have arrived. Data that is read no later than
+     * one turn after the accept may have arrived together with the connection.
      */
     private long earliestArrivalNanos() {
         long arrivedAtNanos = owner.lagMeter().earliestArrivalNanos();
@@ -253,7 +270,7 @@
         assembler.stopStreaming();
         state.touch();
         // Pipelined requests have already been accepted: a draining node serves them before it closes the connection.
-        boolean last = !state.isKeepAlive() || owner.isDraining() && pipelined.isEmpty();
+        boolean last = !state.isKeepAlive() || owner.isDraining() && !hasPipelinedInput();
         if (last) {
             writer.markLast(response);
         }
@@ -290,7 +307,7 @@
             }
         }
         if (!pipelined.isFull() && !assembler.isReadingPaused()) {
-            channel.config().setAutoRead(true);
+            readAhead.resume();
         }
         assembler.flush();
     }
--- a/node/src/main/java/loadbalancer/client/ClientConnectionOwner.java
+++ b/node/src/main/java/loadbalancer/client/ClientConnectionOwner.java
@@ -8,6 +8,9 @@
     /** Measures how long received bytes may have waited in the sockets before they were read. */
     LoopLagMeter lagMeter();
 
+    /** Returns the memory for input that is read ahead. */
+    ReadAheadBudget readAheadBudget();
+
     /** Returns the reader for the heads of new requests. */
     RequestReader reader();
 
--- a/node/src/main/java/loadbalancer/client/ClientServer.java
+++ b/node/src/main/java/loadbalancer/client/ClientServer.java
@@ -45,6 +45,8 @@
     /** All connections, least recently used first: by the start of their last request, or by their accept. */
     private final Set<ClientConnection> clients = new LinkedHashSet<>();
 
+    private final ReadAheadBudget readAheadBudget = ReadAheadBudget.ofHeap();
+
     private Channel listeningChannel;
     /** Whether the listening socket is inherited, so that another process of this node may accept on it too. */
     private boolean socketShared;
@@ -81,6 +83,7 @@
                 .childOption(ChannelOption.ALLOCATOR, TransferLimits.ALLOCATOR)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_SNDBUF, TransferLimits.SOCKET_SEND_BUFFER_BYTES)
+                .childOption(ChannelOption.SO_RCVBUF, TransferLimits.SOCKET_RECEIVE_BUFFER_BYTES)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, TransferLimits.WRITE_WATER_MARK)
                 // Reads again even if the last read did not fill its buffer. Otherwise a disconnect right after a
                 // request would be read a turn later, when the request has already been sent to a server.
@@ -115,7 +118,7 @@
         StrictServerCodec codec = new StrictServerCodec();
         ClientConnection client = new ClientConnection(channel, codec, this);
         clients.add(client);
-        channel.pipeline().addLast(codec, client);
+        channel.pipeline().addLast(client.readAhead(), codec, client);
     }
 
     private boolean closeOldestIdle() {
@@ -209,6 +212,11 @@
         return loop.lagMeter();
     }
 
+    @Override
+    public ReadAheadBudget readAheadBudget() {
+        return readAheadBudget;
+    }
+
     @Override
     public RequestReader reader() {
         return reader;
--- a/node/src/main/java/loadbalancer/client/LingeringClose.java
+++ b/node/src/main/java/loadbalancer/client/LingeringClose.java
@@ -25,12 +25,15 @@
         this.channel = channel;
     }
 
-    /** Shuts down the output, once, if the channel is active. {@code beforeShutdown} runs before that. */
-    void start(Runnable beforeShutdown) {
+    /**
+     * Shuts down the output, once, if the channel is active.
+     *
+     * @param discardInput discards the input that has been read and reads on
+     */
+    void start(Runnable discardInput) {
         if (timeout == null && channel.isActive()) {
-            beforeShutdown.run();
             channel.shutdownOutput();
-            channel.config().setAutoRead(true);
+            discardInput.run();
             timeout = channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
         }
     }
--- /dev/null
+++ b/node/src/main/java/loadbalancer/client/ReadAheadHandler.java
@@ -0,0 +1,251 @@
+package loadbalancer.client;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.concurrent.Future;
+import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
+import loadbalancer.transfer.TransferLimits;
+
+/**
+ * The first handler in the pipeline of a client's connection. It pauses and resumes the input of the handlers behind
+ * it, and notices that the client has left while the input is paused.
+ *
+ * <p>The end of a client's stream is noticed only by reading up to it. If the input stays behind the client for longer
+ * than {@link #READ_AHEAD_DELAY_MS}, this handler therefore reads on and holds what it reads, without decoding it, as
+ * far as the {@link ReadAheadBudget} allows. Once the handlers behind it have taken all of that, they read from the
+ * socket again. For a shorter time the input waits in the socket, so that a client is slowed down to the pace of the
+ * server that reads its request.
+ *
+ * <p>Also tells when the input that is being decoded may have arrived, see {@link ArrivalEstimator}. All methods are
+ * called on the event loop. This handler owns the bytes that it holds.
+ */
+final class ReadAheadHandler extends ChannelInboundHandlerAdapter {
+    /** Rarely does a request wait longer for a server. An attempt may begin up to 100 ms after its client has left. */
+    private static final long READ_AHEAD_DELAY_MS = 50;
+
+    /** The kernel accounts up to twice the configured size. */
+    private static final int RECEIVE_BUFFER_BYTES = 2 * TransferLimits.SOCKET_RECEIVE_BUFFER_BYTES;
+
+    /** Bytes that have been read ahead. */
+    private record Segment(ByteBuf bytes, int accountedBytes, long arrivedAtNanos) {}
+
+    private final ReadAheadBudget budget;
+    /** Returns whether input may be read ahead now. */
+    private final BooleanSupplier readAheadUseful;
+
+    private final LongSupplier earliestArrivalNanos;
+    private final ArrivalEstimator estimator = new ArrivalEstimator(RECEIVE_BUFFER_BYTES);
+    private final ArrayDeque<Segment> held = new ArrayDeque<>();
+
+    private ChannelHandlerContext context;
+    private boolean paused;
+    /** Whether unread input may wait in the socket. */
+    private boolean behind;
+    /** Whether the input has been behind for {@link #READ_AHEAD_DELAY_MS}. */
+    private boolean readingAhead;
+
+    /** Starts to read ahead, or tries again if the budget was used up; null if not scheduled. */
+    private Future<?> timer;
+
+    private boolean releaseScheduled;
+    private long heldBytes;
+    /** The arrival of the input that is being decoded. */
+    private long arrivedAtNanos;
+
+    /**
+     * @param readAheadUseful returns whether to read ahead of a paused input: not if its request is being sent, as the
+     *     client must be slowed down then
+     * @param earliestArrivalNanos the earliest time at which bytes that are read now may have arrived if the input is
+     *     not behind
+     */
+    ReadAheadHandler(ReadAheadBudget budget, BooleanSupplier readAheadUseful, LongSupplier earliestArrivalNanos) {
+        this.budget = budget;
+        this.readAheadUseful = readAheadUseful;
+        this.earliestArrivalNanos = earliestArrivalNanos;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext added) {
+        context = added;
+    }
+
+    /** Returns whether no input is held. */
+    boolean isEmpty() {
+        return held.isEmpty();
+    }
+
+    /** Returns the earliest time at which the input that is being decoded may have arrived. */
+    long arrivedAtNanos() {
+        return arrivedAtNanos;
+    }
+
+    // ---------------------------------------------------------------- flow control
+
+    /** Stops the input of the handlers behind this one. A message that is being decoded may still bring more parts. */
+    void pause() {
+        if (paused) {
+            return;
+        }
+        paused = true;
+        context.channel().config().setAutoRead(false);
+        if (!behind) {
+            behind = true;
+            estimator.onEmpty(System.nanoTime());
+            scheduleReadAhead();
+        } else if (readingAhead) {
+            readAhead();
+        }
+    }
+
+    /** Resumes the input: first what is held, in tasks of the event loop, and then what is read from the socket. */
+    void resume() {
+        paused = false;
+        if (held.isEmpty()) {
+            readFromSocket();
+        } else {
+            scheduleRelease();
+        }
+    }
+
+    /** Drops the held input and resumes. */
+    void discardAndResume() {
+        discard();
+        resume();
+    }
+
+    private void readFromSocket() {
+        context.channel().config().setAutoRead(true);
+    }
+
+    // ---------------------------------------------------------------- reading
+
+    @Override
+    public void channelRead(ChannelHandlerContext reading, Object message) {
+        ByteBuf bytes = (ByteBuf) message;
+        long nowNanos = earliestArrivalNanos.getAsLong();
+        long arrival = behind ? Math.min(nowNanos, estimator.onRead(bytes.readableBytes(), nowNanos)) : nowNanos;
+        // A read that has not filled its buffer has emptied the socket.
+        boolean socketEmptied = bytes.isWritable();
+        if (paused || !held.isEmpty()) {
+            hold(bytes, arrival);
+        } else {
+            arrivedAtNanos = arrival;
+            reading.fireChannelRead(bytes);
+        }
+        if (socketEmptied) {
+            onSocketEmptied();
+        }
+    }
+
+    private void onSocketEmptied() {
+        if (paused || !held.isEmpty()) {
+            estimator.onEmpty(System.nanoTime());
+        } else {
+            behind = false;
+            readingAhead = false;
+            cancelTimer();
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext reading) {
+        reading.fireChannelReadComplete();
+        readAhead();
+    }
+
+    private void scheduleReadAhead() {
+        cancelTimer();
+        timer = context.executor().schedule(this::onTimer, READ_AHEAD_DELAY_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void onTimer() {
+        timer = null;
+        readingAhead = true;
+        readAhead();
+    }
+
+    /** Reads on from the socket although the input is paused or held. */
+    private void readAhead() {
+        if (!readingAhead || !paused && held.isEmpty() || !context.channel().isActive()) {
+            return;
+        }
+        if (!readAheadUseful.getAsBoolean()) {
+            return;
+        }
+        if (budget.allows(heldBytes, TransferLimits.MAX_READ_BYTES)) {
+            context.read();
+        } else if (timer == null) {
+            scheduleReadAhead();
+        }
+    }
+
+    private void cancelTimer() {
+        if (timer != null) {
+            timer.cancel(false);
+            timer = null;
+        }
+    }
+
+    // ---------------------------------------------------------------- held input
+
+    private void hold(ByteBuf bytes, long arrival) {
+        ByteBuf compact = bytes;
+        if (bytes.readableBytes() < bytes.capacity() / 2) {
+            compact = TransferLimits.ALLOCATOR.buffer(bytes.readableBytes()).writeBytes(bytes);
+            bytes.release();
+        }
+        budget.acquire(compact.capacity());
+        heldBytes += compact.capacity();
+        held.add(new Segment(compact, compact.capacity(), arrival));
+    }
+
+    private void scheduleRelease() {
+        if (!releaseScheduled) {
+            releaseScheduled = true;
+            context.executor().execute(this::release);
+        }
+    }
+
+    /** Passes on one turn's worth of the held input. */
+    private void release() {
+        releaseScheduled = false;
+        for (int i = 0; i < TransferLimits.MAX_READS_PER_TURN && !paused && !held.isEmpty(); i++) {
+            Segment next = removeFirst();
+            arrivedAtNanos = next.arrivedAtNanos;
+            context.fireChannelRead(next.bytes);
+        }
+        context.fireChannelReadComplete();
+        if (paused) {
+            return;
+        }
+        if (held.isEmpty()) {
+            readFromSocket();
+        } else {
+            scheduleRelease();
+        }
+    }
+
+    private Segment removeFirst() {
+        Segment first = held.poll();
+        budget.release(first.accountedBytes);
+        heldBytes -= first.accountedBytes;
+        return first;
+    }
+
+    private void discard() {
+        while (!held.isEmpty()) {
+            removeFirst().bytes.release();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext closed) {
+        cancelTimer();
+        discard();
+        closed.fireChannelInactive();
+    }
+}
--- a/node/src/main/java/loadbalancer/client/RequestAssembler.java
+++ b/node/src/main/java/loadbalancer/client/RequestAssembler.java
@@ -57,6 +57,7 @@
     private static final long UNKNOWN_LENGTH = -1;
 
     private final SocketChannel channel;
+    private final ReadAheadHandler readAhead;
     private final ConnectionState state;
     private final PipelinedMessages pipelined;
     private final ClientConnectionOwner owner;
@@ -81,11 +82,13 @@
 
     RequestAssembler(
             SocketChannel channel,
+            ReadAheadHandler readAhead,
             ConnectionState state,
             PipelinedMessages pipelined,
             ClientConnectionOwner owner,
             Listener listener) {
         this.channel = channel;
+        this.readAhead = readAhead;
         this.state = state;
         this.pipelined = pipelined;
         this.owner = owner;
@@ -247,7 +250,7 @@
     public void pauseReading() {
         if (!state.isResponseStarted()) {
             readingPaused = true;
-            channel.config().setAutoRead(false);
+            readAhead.pause();
         }
     }
 
@@ -256,7 +259,7 @@
         readingPaused = false;
         state.touch();
         if (!pipelined.isFull()) {
-            channel.config().setAutoRead(true);
+            readAhead.resume();
         }
     }
 
@@ -309,6 +312,11 @@
         return streamedBody != null;
     }
 
+    /** Returns whether the request has a body that is being sent to a server for good. */
+    boolean isBodyCommitted() {
+        return streamedBody != null && streamedBody.isCommitted();
+    }
+
     boolean isReadingPaused() {
         return readingPaused;
     }
--- a/node/src/main/java/loadbalancer/request/ProxiedRequest.java
+++ b/node/src/main/java/loadbalancer/request/ProxiedRequest.java
@@ -19,10 +19,10 @@
  * the balancer can send anything to the client. Each attempt ends once.
  *
  * <p>A request whose client leaves ends without a response. If it waits for a server, the balancer drops it and starts
- * no further attempt. An attempt that has not started yet is not sent. Attempts that wait for a connection or a
- * response are cancelled by the balancer if its settings enable cancellation; otherwise they continue, and their
- * responses are dropped. Whatever the settings are, the attempt whose response is being streamed is cancelled, and so
- * is the attempt that sends the request body if the rest of the body will not arrive.
+ * no further attempt. An attempt that has not started yet, or still waits for a connection, is not sent. Attempts that
+ * wait for a response are cancelled by the balancer if its settings enable cancellation; otherwise they continue, and
+ * their responses are dropped. Whatever the settings are, the attempt whose response is being streamed is cancelled,
+ * and so is the attempt that sends the request body if the rest of the body will not arrive.
  *
  * <p>All methods are called on the event loop.
  */
@@ -45,6 +45,8 @@
     /** The number of attempts whose outcome has not been reported to the balancer. */
     private int openAttempts;
 
+    private boolean clientGone;
+
     /** The attempt whose message was last written to a connection; null before the first one. */
     private UpstreamAttempt writingAttempt;
     /** The attempt whose response is or was streamed to the client; null if there is none. */
@@ -103,6 +105,10 @@
         return state.isEnded();
     }
 
+    boolean isClientGone() {
+        return clientGone;
+    }
+
     /** Returns the number of attempts so far. */
     int attemptCount() {
         return attempts.size();
@@ -158,6 +164,7 @@
 
     @Override
     public void onClientGone() {
+        clientGone = true;
         services.events().submit(this, balancer -> {
             end();
             balancer.onClientGone(services.clock().nowUs(), id);
--- a/node/src/main/java/loadbalancer/request/UpstreamAttempt.java
+++ b/node/src/main/java/loadbalancer/request/UpstreamAttempt.java
@@ -141,7 +141,7 @@
 
     @Override
     public boolean mayStart() {
-        return services.clock().nowUs() <= startByUs;
+        return services.clock().nowUs() <= startByUs && !request.isClientGone();
     }
 
     @Override
--- a/node/src/main/java/loadbalancer/transfer/RequestBody.java
+++ b/node/src/main/java/loadbalancer/transfer/RequestBody.java
@@ -81,6 +81,11 @@
         return beginning != null && sink == null;
     }
 
+    /** Returns whether a part after the beginning has been forwarded, so that no other server can get the body. */
+    public boolean isCommitted() {
+        return beginning == null;
+    }
+
     /** Returns whether the client is paused because the server does not read fast enough. */
     public boolean isBlockedByServer() {
         return sink != null && clientPaused && !received;
--- a/node/src/main/java/loadbalancer/transfer/TransferLimits.java
+++ b/node/src/main/java/loadbalancer/transfer/TransferLimits.java
@@ -31,13 +31,21 @@
      */
     public static final int SOCKET_SEND_BUFFER_BYTES = 64 << 10;
 
+    /**
+     * SO_RCVBUF of client connections. What waits in the buffer has been written by the client, whose time runs, but is
+     * not known to the node. It also bounds the memory of clients that are not read.
+     */
+    public static final int SOCKET_RECEIVE_BUFFER_BYTES = 64 << 10;
+
+    /** How many times a socket is read in one turn of the event loop. */
+    public static final int MAX_READS_PER_TURN = 4;
+
     /** The other side of a transfer is paused above the high mark of unwritten bytes and resumed below the low mark. */
     public static final WriteBufferWaterMark WRITE_WATER_MARK =
             new WriteBufferWaterMark(MAX_READ_BYTES, 2 * MAX_READ_BYTES);
 
     private static final int MIN_READ_BYTES = 512;
     private static final int INITIAL_READ_BYTES = 2_048;
-    private static final int MAX_READS_PER_TURN = 4;
 
     private TransferLimits() {}
 
--- a/node/src/test/java/loadbalancer/process/LateConnectionTest.java
+++ b/node/src/test/java/loadbalancer/process/LateConnectionTest.java
@@ -6,14 +6,9 @@
 import java.io.IOException;
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.Proxy;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import loadbalancer.policy.Balancer;
@@ -31,61 +26,6 @@
 
     private static final int TASKS_UP_TO_DIAL = 4;
 
-    /** A server whose backlog is full. The system retries a connection a second later, so connections open late. */
-    private static final class LateServer implements AutoCloseable {
-        private final BlockingQueue<String> receivedTxns = new LinkedBlockingQueue<>();
-        private final List<Socket> open = new ArrayList<>();
-        private final ServerSocket listening = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-
-        LateServer() throws IOException {
-            for (int i = 0; i < 2; i++) {
-                open.add(new Socket(listening.getInetAddress(), listening.getLocalPort()));
-            }
-        }
-
-        String entry(String id) {
-            return id + "=127.0.0.1:" + listening.getLocalPort() + "=Ready";
-        }
-
-        /** Accepts connections from now on, and records and serves the requests on them. */
-        void startAccepting() {
-            Thread thread = new Thread(
-                    () -> {
-                        try {
-                            while (true) {
-                                Socket socket = listening.accept();
-                                open.add(socket);
-                                Thread peer = new Thread(() -> serve(socket), "late peer");
-                                peer.setDaemon(true);
-                                peer.start();
-                            }
-                        } catch (IOException e) {
-                            // Closed: the test is over.
-                        }
-                    },
-                    "late");
-            thread.setDaemon(true);
-            thread.start();
-        }
-
-        private void serve(Socket socket) {
-            try {
-                while (true) {
-                    receivedTxns.add(
-                            Http.readMessage(socket.getInputStream()).headers().get("x-txn"));
-                    new FakeServer.Connection(socket).write(Http.okResponse("late"));
-                }
-            } catch (IOException e) {
-                // The connection has ended.
-            }
-        }
-
-        @Override
-        public void close() throws IOException {
-            listening.close();
-        }
-    }
-
     /** Returns a balancer that releases a permit for each attempt that it starts. */
     private static Balancer countingAttempts(NodeHarness harness, BalancerActions actions, Semaphore started) {
         return new ServiceQBalancer(harness.settings, 7, (BalancerActions) Proxy.newProxyInstance(
--- /dev/null
+++ b/node/src/test/java/loadbalancer/process/UnreadClientCloseTest.java
@@ -0,0 +1,184 @@
+package loadbalancer.process;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Clients that leave while the node does not take their input: no attempt may begin long after that. */
+class UnreadClientCloseTest {
+    /** An attempt may begin this long after its client has left, with the 50 ms of every limit on the platform. */
+    private static final long ATTEMPT_ALLOWED_MS = 150;
+
+    private static final String REMAINING = "15000m";
+    private static final String REJECTION = Http.response("503 Service Unavailable", "X-Turned-Away: 1\r\n", "");
+
+    private enum Departure {
+        CLOSE {
+            @Override
+            void leave(Socket client) throws IOException {
+                client.close();
+            }
+        },
+        RESET {
+            @Override
+            void leave(Socket client) throws IOException {
+                client.setSoLinger(true, 0);
+                client.close();
+            }
+        },
+        HALF_CLOSE {
+            @Override
+            void leave(Socket client) throws IOException {
+                client.shutdownOutput();
+            }
+        };
+
+        abstract void leave(Socket client) throws IOException;
+    }
+
+    private static String largeOrder(int bodyBytes) {
+        return Http.orderRequest("gone", REMAINING)
+                .replace("Content-Length: 2\r\n\r\nab", "Content-Length: " + bodyBytes + "\r\n\r\n")
+                .concat("a".repeat(bodyBytes));
+    }
+
+    private static String pipelinedOrders(int count) {
+        StringBuilder orders = new StringBuilder();
+        for (int i = 0; i < count; i++) {
+            orders.append(Http.orderRequest("gone" + i, REMAINING));
+        }
+        return orders.toString();
+    }
+
+    /** Waits until an attempt for a client that has just left would begin too late. */
+    private static void awaitAttemptForbidden(NodeHarness harness) throws Exception {
+        harness.loop
+                .schedule(() -> {}, ATTEMPT_ALLOWED_MS, TimeUnit.MILLISECONDS)
+                .sync();
+    }
+
+    private static void assertOnlyNextIsServed(NodeHarness harness, FakeServer server) throws Exception {
+        Http.Message response = harness.exchange(Http.pageRequest("/api/p", "next", REMAINING));
+        assertEquals(200, response.status());
+        assertEquals("next", FakeServer.awaitNext(server.requests).headers().get("x-txn"));
+        harness.awaitEventLoop();
+        assertTrue(server.requests.isEmpty(), "sent for a client that has left: " + server.requests);
+    }
+
+    /**
+     * Guards against sending a request whose client has left: it waits for a server, its body is too large to be
+     * buffered, and the end of the client's stream lies behind the body.
+     */
+    @ParameterizedTest
+    @CsvSource({"CLOSE, 100000", "RESET, 100000", "HALF_CLOSE, 100000", "CLOSE, 1000000", "RESET, 1000000"})
+    void largeRequestIsNotSentAfterItsClientHasLeft(Departure departure, int bodyBytes) throws Exception {
+        try (FakeServer server = FakeServer.respondingWith("x");
+                NodeHarness harness = NodeHarness.withSilentDiscovery().start()) {
+            Socket client = harness.connect();
+            NodeHarness.write(client, largeOrder(bodyBytes));
+            harness.awaitEventLoop();
+            departure.leave(client);
+            awaitAttemptForbidden(harness);
+            harness.announceServer("s0", server);
+            assertOnlyNextIsServed(harness, server);
+        }
+    }
+
+    /**
+     * Guards against sending requests whose client has left behind so many of them that the node does not take them
+     * all: the first one is in service, the others wait, also unread.
+     */
+    @ParameterizedTest
+    @CsvSource({"CLOSE, 10", "CLOSE, 1000", "RESET, 1000", "HALF_CLOSE, 1000", "CLOSE, 5000"})
+    void pipelinedRequestsAreNotSentAfterTheirClientHasLeft(Departure departure, int count) throws Exception {
+        CountDownLatch responseAllowed = new CountDownLatch(1);
+        try (FakeServer server = FakeServer.respondingWhen(responseAllowed);
+                NodeHarness harness = NodeHarness.withSilentDiscovery().start(server)) {
+            Socket client = harness.connect();
+            NodeHarness.write(client, pipelinedOrders(count));
+            assertEquals(
+                    "gone0", FakeServer.awaitNext(server.requests).headers().get("x-txn"));
+            departure.leave(client);
+            awaitAttemptForbidden(harness);
+            responseAllowed.countDown();
+            assertOnlyNextIsServed(harness, server);
+        }
+    }
+
+    /**
+     * Guards against further attempts for a client that has left: servers reject its request one after the other, and
+     * the end of its stream lies behind requests that the node does not take yet.
+     */
+    @Test
+    void rejectedRequestIsNotSentAgainAfterItsClientHasLeft() throws Exception {
+        try (FakeServer server = new FakeServer((request, connection) -> connection.write(REJECTION));
+                NodeHarness harness = NodeHarness.withSilentDiscovery()) {
+            harness.settings.maxAttempts = 1_000_000;
+            harness.start(server);
+            Socket client = harness.connect();
+            NodeHarness.write(client, pipelinedOrders(1_000));
+            FakeServer.awaitNext(server.requests);
+            client.close();
+            awaitAttemptForbidden(harness);
+            server.requests.clear();
+            harness.loop.schedule(() -> {}, 500, TimeUnit.MILLISECONDS).sync();
+            assertTrue(server.requests.isEmpty(), server.requests.size() + " attempts for a client that has left");
+        }
+    }
+
+    /** Guards against a client that is held up for good: what was read ahead of its turn must be served in order. */
+    @Test
+    void requestsThatWereReadAheadAreServedInOrder() throws Exception {
+        int count = 1_000;
+        CountDownLatch responseAllowed = new CountDownLatch(1);
+        try (FakeServer server = FakeServer.respondingWhen(responseAllowed);
+                NodeHarness harness = NodeHarness.withSilentDiscovery().start(server)) {
+            Socket client = harness.connect();
+            NodeHarness.write(
+                    client, pipelinedOrders(count) + largeOrder(300_000) + Http.orderRequest("end", REMAINING));
+            FakeServer.awaitNext(server.requests);
+            awaitAttemptForbidden(harness);
+            responseAllowed.countDown();
+            for (int i = 0; i < count; i++) {
+                assertEquals(
+                        "gone" + i, Http.readMessage(client.getInputStream()).body());
+            }
+            assertEquals("gone", Http.readMessage(client.getInputStream()).body());
+            assertEquals("end", Http.readMessage(client.getInputStream()).body());
+        }
+    }
+
+    /**
+     * Guards against an attempt that begins when its connection opens, long after the client has left, where the
+     * settings do not allow to cancel attempts.
+     */
+    @Test
+    void attemptIsNotSentOnALateConnectionWhereAttemptsAreNotCancelled() throws Exception {
+        try (LateServer late = new LateServer();
+                NodeHarness harness = NodeHarness.withSilentDiscovery()) {
+            harness.settings.cancellation = false;
+            harness.hasControl = true;
+            harness.startWithList(NodeHarness.endpointList(1, true, late.entry("s0")));
+            Socket client = harness.connect();
+            NodeHarness.write(client, Http.orderRequest("gone", REMAINING));
+            harness.awaitMetric("node_in_progress 1");
+            awaitAttemptForbidden(harness);
+            client.close();
+            harness.awaitMetric("node_in_progress 0");
+            late.startAccepting();
+            assertEquals(
+                    200,
+                    harness.exchange(Http.pageRequest("/api/p", "next", REMAINING))
+                            .status());
+            assertFalse(late.receivedTxns.contains("gone"), "sent for a client that has left");
+        }
+    }
+}
