Buffer responses of unknown length until they end or are large, cut none for its pace

Cause: at its deadline a response of unknown length may be a late small one, which has to end, or a slow large one, which must not be cut. LateResponsePace guessed by the pace, and every threshold is wrong on one side.

Change: such a response is passed on only once it has ended or exceeds 64 KiB; until then the request can fail with a whole response at its deadline. What has begun is large and not cut. The balancer hears that it arrives (onResponseProgress), so that its server does not count as unresponsive.

--- a/harness/src/test/java/loadbalancer/harness/run/FaultyBalancer.java
+++ b/harness/src/test/java/loadbalancer/harness/run/FaultyBalancer.java
@@ -88,6 +88,11 @@
         inner.onFirstByte(nowUs, requestId, attempt);
     }
 
+    @Override
+    public void onResponseProgress(long nowUs, long requestId, int attempt) {
+        inner.onResponseProgress(nowUs, requestId, attempt);
+    }
+
     @Override
     public void onClientGone(long nowUs, long requestId) {
         now = nowUs;
--- a/node/src/main/java/loadbalancer/policy/Balancer.java
+++ b/node/src/main/java/loadbalancer/policy/Balancer.java
@@ -41,6 +41,14 @@
      */
     void onFirstByte(long nowUs, long requestId, int attempt);
 
+    /**
+     * The response to this attempt has begun to arrive, although nothing of it has been sent to the client. The attempt
+     * is not unresponsive, and its request is not bound to it. Ignored if the attempt is not in flight.
+     */
+    default void onResponseProgress(long nowUs, long requestId, int attempt) {
+        // Only a balancer that watches for unresponsive attempts uses it.
+    }
+
     /**
      * Withdraws a request: its client has left, or the node has sent the final response itself, after a failure of the
      * balancer or at the shutdown deadline. The balancer gives no final response and makes no further attempt. Unknown
--- a/node/src/main/java/loadbalancer/policy/HedgingPolicy.java
+++ b/node/src/main/java/loadbalancer/policy/HedgingPolicy.java
@@ -29,7 +29,7 @@
 
     private final BalancerState state;
     private final PerClass<ClassLatency> latencies;
-    /** The attempts of each class in the order sent, until they are settled or found unresponsive. */
+    /** The attempts of each class in the order sent, until they are settled, respond, or are found unresponsive. */
     private final PerClass<ArrayDeque<AttemptId>> watched = new PerClass<>(ArrayDeque::new);
 
     private double budget = MAX_BUDGET;
@@ -74,7 +74,10 @@
 
     private static boolean isSettled(AttemptId id) {
         PendingRequest request = id.request();
-        return request.isEnded() || request.isBound() || request.results[id.attempt()] != null;
+        return request.isEnded()
+                || request.isBound()
+                || request.responding[id.attempt()]
+                || request.results[id.attempt()] != null;
     }
 
     private static long sentAtUs(AttemptId id) {
--- a/node/src/main/java/loadbalancer/policy/PendingRequest.java
+++ b/node/src/main/java/loadbalancer/policy/PendingRequest.java
@@ -41,6 +41,8 @@
     final AttemptResult[] results;
     /** Attempts that were counted as failures before their outcome. */
     final boolean[] countedAsFailure;
+    /** Whether a part of the response to each attempt has arrived. */
+    final boolean[] responding;
 
     int attempts;
     int outstanding;
@@ -77,6 +79,7 @@
         sentAtUs = new long[maxAttempts];
         results = new AttemptResult[maxAttempts];
         countedAsFailure = new boolean[maxAttempts];
+        responding = new boolean[maxAttempts];
     }
 
     void enqueue() {
--- a/node/src/main/java/loadbalancer/policy/ServiceQBalancer.java
+++ b/node/src/main/java/loadbalancer/policy/ServiceQBalancer.java
@@ -192,6 +192,14 @@
         }
     }
 
+    @Override
+    public void onResponseProgress(long nowUs, long requestId, int attempt) {
+        PendingRequest request = requests.get(requestId);
+        if (request != null && request.isInFlight(attempt)) {
+            request.responding[attempt] = true;
+        }
+    }
+
     @Override
     public void onClientGone(long nowUs, long requestId) {
         PendingRequest request = requests.get(requestId);
--- a/node/src/main/java/loadbalancer/request/AttemptStream.java
+++ b/node/src/main/java/loadbalancer/request/AttemptStream.java
@@ -6,7 +6,7 @@
 
 /**
  * The state of what an attempt streams: a request body, a response, or both. It forwards backpressure from the client
- * to the source of the response, detects a stalled server and watches the pace of a late response of unknown length.
+ * to the source of the response and detects a stalled server.
  *
  * <p>Exists only for an attempt that streams something. All methods are called on the event loop.
  */
@@ -27,9 +27,6 @@
     private long responseBytes;
     private boolean responsePaused;
 
-    /** The pace of a response of unknown length; null until its deadline has passed. */
-    private LateResponsePace latePace;
-
     AttemptStream(MonotonicWallClock clock, long startedAtUs) {
         this.clock = clock;
         lastProgressUs = startedAtUs;
@@ -61,29 +58,11 @@
     public void resumeReading() {
         responsePaused = false;
         lastProgressUs = clock.nowUs();
-        if (latePace != null) {
-            latePace.startWindow(lastProgressUs, responseBytes);
-        }
         responseSource.resumeReading();
     }
 
     // ---------------------------------------------------------------- stalls
 
-    /** Starts to watch the pace of a response of unknown length, as this deadline has just passed. */
-    void onDeadlinePassed(long deadlineUs) {
-        latePace = new LateResponsePace(deadlineUs, responseBytes);
-    }
-
-    /** Judges the pace of a response of unknown length whose deadline has passed. */
-    LateResponsePace.Verdict checkLatePace() {
-        return latePace.check(clock.nowUs(), responseBytes, responsePaused);
-    }
-
-    /** Returns the time at which {@link #checkLatePace} is to be called next. */
-    long nextPaceCheckUs() {
-        return latePace.windowEndUs();
-    }
-
     /**
      * Returns whether the server has neither read nor sent anything for {@link #STALL_TIMEOUT_US}. Called periodically:
      * the progress of the request body is measured from one call to the next. Once the response has started, only the
--- a/node/src/main/java/loadbalancer/request/HealthCheck.java
+++ b/node/src/main/java/loadbalancer/request/HealthCheck.java
@@ -75,6 +75,11 @@
         part.release();
     }
 
+    @Override
+    public void onResponseProgress() {
+        // Only the end of a health check counts.
+    }
+
     @Override
     public void onResponseReadComplete() {
         // Nothing to flush, as the parts are not forwarded.
--- a/node/src/main/java/loadbalancer/request/ProxiedRequest.java
+++ b/node/src/main/java/loadbalancer/request/ProxiedRequest.java
@@ -292,14 +292,10 @@
 
     /**
      * Ends the request, as the process is about to be killed. Responds with an error if no response has started: 503 if
-     * no attempt was ever requested, else 502. Of the responses that are being streamed, only large ones go on.
+     * no attempt was ever requested, else 502. A response that is being streamed goes on.
      */
     void failPending() {
-        if (isEnded()) {
-            return;
-        }
-        if (streamingAttempt != null) {
-            streamingAttempt.expireUnlessLarge();
+        if (isEnded() || streamingAttempt != null) {
             return;
         }
         boolean neverSent = attempts.isEmpty();
--- a/node/src/main/java/loadbalancer/request/RequestTable.java
+++ b/node/src/main/java/loadbalancer/request/RequestTable.java
@@ -64,7 +64,7 @@
         shutdownDeadlineUs = deadlineUs;
     }
 
-    /** Ends all requests but those whose large response is being streamed, as the process is about to be killed. */
+    /** Ends all requests but those whose response is being streamed, as the process is about to be killed. */
     public void failPending() {
         List.copyOf(requests.values()).forEach(ProxiedRequest::failPending);
     }
--- a/node/src/main/java/loadbalancer/request/UpstreamAttempt.java
+++ b/node/src/main/java/loadbalancer/request/UpstreamAttempt.java
@@ -51,9 +51,6 @@
     /** When the streamed response started, or {@link #NOT_STARTED}. */
     private long responseStartedAtUs = NOT_STARTED;
 
-    /** Whether the response has started without an announced length. */
-    private boolean hasUnknownLength;
-
     /** The state of what is streamed; null if nothing is. */
     private AttemptStream stream;
 
@@ -170,10 +167,7 @@
         responseStartedAtUs = services.clock().nowUs();
         startStreaming();
         stream.onResponseStarted(source);
-        hasUnknownLength = length < 0;
-        if (request.isReceived()) {
-            scheduleTimeout();
-        }
+        cancelTimeout();
         if (request.startResponse(this, length, stream)) {
             services.events()
                     .submit(
@@ -193,6 +187,14 @@
         }
     }
 
+    @Override
+    public void onResponseProgress() {
+        services.events()
+                .submit(
+                        request,
+                        balancer -> balancer.onResponseProgress(services.clock().nowUs(), request.id(), number));
+    }
+
     @Override
     public void onResponseReadComplete() {
         ClientConnection client = request.receiverOf(this);
@@ -208,23 +210,15 @@
 
     // ---------------------------------------------------------------- timeouts
 
-    /**
-     * Schedules the timeout that applies now: the deadline of the response, or of its rest if it has started with an
-     * unknown length. Only the start of a response whose announced length is streamed has to meet the deadline.
-     */
+    /** Schedules the deadline of the response, which is met once a streamed response has started. */
     private void scheduleTimeout() {
         cancelTimeout();
         if (!isResponseStarted()) {
-            scheduleAt(deadlineUs(), this::expire);
-        } else if (hasUnknownLength) {
-            scheduleAt(deadlineUs(), this::startPaceChecks);
+            long delayUs = deadlineUs() - services.clock().nowUs();
+            timeout = services.loop().schedule(this::expire, delayUs, TimeUnit.MICROSECONDS);
         }
     }
 
-    private void scheduleAt(long atUs, Runnable task) {
-        timeout = services.loop().schedule(task, atUs - services.clock().nowUs(), TimeUnit.MICROSECONDS);
-    }
-
     private void cancelTimeout() {
         if (timeout != null) {
             timeout.cancel(false);
@@ -232,21 +226,6 @@
         }
     }
 
-    private void startPaceChecks() {
-        stream.onDeadlinePassed(deadlineUs());
-        scheduleAt(stream.nextPaceCheckUs(), this::checkPace);
-    }
-
-    /** Ends a late response that is too slow, or schedules the next check unless the response is large. */
-    private void checkPace() {
-        LateResponsePace.Verdict verdict = stream.checkLatePace();
-        if (verdict == LateResponsePace.Verdict.TOO_SLOW) {
-            expire();
-        } else if (verdict == LateResponsePace.Verdict.ON_PACE) {
-            scheduleAt(stream.nextPaceCheckUs(), this::checkPace);
-        }
-    }
-
     /** Returns whether the server has stalled the streamed request or response for too long. */
     boolean isStalled(long nowUs) {
         return stream.isStalled(streamedBody(), nowUs);
@@ -267,13 +246,6 @@
         onEnded(mayHaveRun ? AttemptResult.TIMEOUT : AttemptResult.CONNECT_FAILED, HttpBodies.EMPTY);
     }
 
-    /** Ends the attempt unless its response, which has started, is a large one. */
-    void expireUnlessLarge() {
-        if (hasUnknownLength && !LateResponsePace.isLarge(stream.responseBytes())) {
-            expire();
-        }
-    }
-
     private void logResponseCut() {
         Log.warn(
                 "response_cut",
--- a/node/src/main/java/loadbalancer/upstream/ResponseReader.java
+++ b/node/src/main/java/loadbalancer/upstream/ResponseReader.java
@@ -2,13 +2,10 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 import loadbalancer.http.HttpBodies;
 import loadbalancer.http.ProtocolHeaders;
 import loadbalancer.http.TransferCodings;
@@ -19,8 +16,12 @@
 /**
  * Reads the response of one exchange at a time: buffers a small body and streams a large one.
  *
- * <p>Owns the buffered body until it is passed to the exchange or {@link #reset} is called, and the timer that ends the
- * buffering. The caller of {@link #readContent} releases the part. All methods are called on the event loop.
+ * <p>A body of unknown length is buffered until it has ended or exceeds {@link TransferLimits#MAX_BUFFERED_BYTES}. The
+ * whole of a small body is due by its deadline, whereas of a large one only the first bytes are due, and it must not be
+ * cut off afterwards. As long as the two cannot be told apart, nothing is passed on.
+ *
+ * <p>Owns the buffered body until it is passed to the exchange or {@link #reset} is called. The caller of
+ * {@link #readContent} releases the part. All methods are called on the event loop.
  */
 final class ResponseReader {
     private static final long UNKNOWN_LENGTH = -1;
@@ -29,28 +30,19 @@
     /** Initial capacity of the buffer for a body of unknown length. */
     private static final long INITIAL_BUFFER_BYTES = 256;
 
-    /**
-     * Time after which a body of unknown length is streamed instead of buffered, counted from its first part. Such a
-     * body is most likely large, and for a large body the time of the first bytes counts. Servers need much less time
-     * to write a response that is ready, and any latency objective is much longer.
-     */
-    private static final long MAX_BUFFERING_MS = 50;
-
-    private final EventLoop loop;
     private final FlowControl source;
 
     private UpstreamExchange exchange;
     private HttpResponse head;
     /** The buffered body; null if there is no response or it is streamed. */
     private ByteBuf buffered;
-    /** Ends the buffering of a body of unknown length; null if not scheduled. */
-    private Future<?> bufferingTimeout;
 
     private boolean streaming;
+    /** Whether the exchange has been told that a response of unknown length is being buffered. */
+    private boolean progressReported;
 
     /** @param source pauses and resumes reading of a streamed response */
-    ResponseReader(EventLoop loop, FlowControl source) {
-        this.loop = loop;
+    ResponseReader(FlowControl source) {
         this.source = source;
     }
 
@@ -65,6 +57,7 @@
         head = null;
         releaseBuffered();
         streaming = false;
+        progressReported = false;
     }
 
     /** Reads the head of a response. Returns false if its body cannot be delimited or decoded reliably. */
@@ -108,9 +101,6 @@
             return;
         }
         buffered.writeBytes(part);
-        if (length() < 0 && bufferingTimeout == null) {
-            bufferingTimeout = loop.schedule(this::startStreaming, MAX_BUFFERING_MS, TimeUnit.MILLISECONDS);
-        }
     }
 
     private boolean isTooLargeToBuffer(ByteBuf nextPart) {
@@ -120,7 +110,6 @@
 
     /** Passes the buffered part of the body to the exchange, and from now on each part as it arrives. */
     private void startStreaming() {
-        cancelBufferingTimeout();
         streaming = true;
         ByteBuf first = buffered;
         buffered = null;
@@ -134,6 +123,20 @@
         exchange.onResponseReadComplete();
     }
 
+    /** Tells the exchange that all data that has arrived so far has been read. */
+    void onReadComplete() {
+        if (streaming) {
+            exchange.onResponseReadComplete();
+        } else if (!progressReported && isBuffering() && length() < 0) {
+            progressReported = true;
+            exchange.onResponseProgress();
+        }
+    }
+
+    private boolean isBuffering() {
+        return buffered != null && head.status().code() == OK;
+    }
+
     /** Passes the load report of the response, if any, to the exchange. */
     void notifyOfLoadReport() {
         String report = head.headers().get(ProtocolHeaders.LOAD_REPORT);
@@ -171,23 +174,11 @@
         return HttpUtil.isKeepAlive(head);
     }
 
-    boolean isStreaming() {
-        return streaming;
-    }
-
     private long length() {
         return HttpUtil.getContentLength(head, UNKNOWN_LENGTH);
     }
 
-    private void cancelBufferingTimeout() {
-        if (bufferingTimeout != null) {
-            bufferingTimeout.cancel(false);
-            bufferingTimeout = null;
-        }
-    }
-
     private void releaseBuffered() {
-        cancelBufferingTimeout();
         if (buffered != null) {
             buffered.release();
             buffered = null;
--- a/node/src/main/java/loadbalancer/upstream/ServerConnection.java
+++ b/node/src/main/java/loadbalancer/upstream/ServerConnection.java
@@ -87,7 +87,7 @@
         this.address = address;
         this.channel = channel;
         this.clock = clock;
-        reader = new ResponseReader(channel.eventLoop(), this);
+        reader = new ResponseReader(this);
         openedAtUs = clock.nowUs();
     }
 
@@ -242,8 +242,8 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        if (exchange != null && reader.isStreaming()) {
-            exchange.onResponseReadComplete();
+        if (exchange != null) {
+            reader.onReadComplete();
         }
         // Offered only after all data that has arrived is read: stray bytes after a response then find no exchange and
         // close the connection. With an exchange already started, they would be taken for its response.
--- a/node/src/main/java/loadbalancer/upstream/UpstreamExchange.java
+++ b/node/src/main/java/loadbalancer/upstream/UpstreamExchange.java
@@ -29,8 +29,7 @@
     void onLoadReport(String report);
 
     /**
-     * A streamed response has started: it is too large to be buffered, or its length is unknown and its end has not
-     * arrived in time.
+     * A streamed response has started: it is too large to be buffered.
      *
      * @param length the announced length in bytes, or -1 if there is none
      * @param source pauses and resumes reading of the response
@@ -40,6 +39,9 @@
     /** Receives the next part of a streamed response, and takes ownership of it. */
     void onResponsePart(ByteBuf part);
 
+    /** The response has begun to arrive and is buffered until more of it is known. Called once at most. */
+    void onResponseProgress();
+
     /** All parts of a streamed response that have arrived so far have been passed on. */
     void onResponseReadComplete();
 
--- a/node/src/test/java/loadbalancer/policy/HedgingPolicyTest.java
+++ b/node/src/test/java/loadbalancer/policy/HedgingPolicyTest.java
@@ -40,6 +40,14 @@
         assertNull(hedging.pollUnresponsive(UNRESPONSIVE_AT_US));
     }
 
+    /** Guards against ejecting a server whose response of unknown length is buffered while it arrives slowly. */
+    @Test
+    void attemptWhoseResponseArrivesIsNotUnresponsive() {
+        fixture.learnLatency(FakeNode.IDEMPOTENT, 10_000);
+        sent().responding[0] = true;
+        assertNull(hedging.pollUnresponsive(UNRESPONSIVE_AT_US));
+    }
+
     @Test
     void nothingIsUnresponsiveWhileTheLatencyIsUnknown() {
         sent();
