Let the time of a large request run while the node holds back reading it

Cause: the deadline of a streamed request began when its last byte was read, and the node itself stops to read while the server takes nothing. A request that waited with a part of its body unread got its whole time anew. The sockets and the node held some 220 kB, which a slow server reads for longer than the client waits.

Change: while a server takes nothing, the time runs from the earliest moment at which the unread rest may have arrived; so does the deadline from the last byte, and what servers are told. SO_RCVBUF of clients and SO_SNDBUF towards servers are 32 KiB. A body that is being sent is not read ahead: before, a body of which only the beginning had gone was.

--- a/node/src/main/java/loadbalancer/client/ArrivalEstimator.java
+++ b/node/src/main/java/loadbalancer/client/ArrivalEstimator.java
@@ -42,10 +42,15 @@
         while (marks.size() > 1 && marks.get(1).offset <= readBytes - receiveBufferBytes) {
             marks.remove(0);
         }
-        long earliestNanos = marks.get(0).readAtNanos;
+        long earliestNanos = earliestUnreadNanos();
         if (readBytes - marks.get(marks.size() - 1).offset >= receiveBufferBytes / MARKS_PER_BUFFER) {
             marks.add(new Mark(readBytes, nowNanos));
         }
         return earliestNanos;
     }
+
+    /** Returns the earliest time at which bytes that have not been read yet may have arrived. */
+    long earliestUnreadNanos() {
+        return marks.get(0).readAtNanos;
+    }
 }
--- a/node/src/main/java/loadbalancer/client/ClientConnection.java
+++ b/node/src/main/java/loadbalancer/client/ClientConnection.java
@@ -95,7 +95,7 @@
 
     /** Returns whether to read ahead: not while the client is to be slowed down to the pace of a server. */
     private boolean isReadAheadUseful() {
-        return !assembler.isBodyCommitted();
+        return !assembler.isBodyBeingSent();
     }
 
     /** Returns whether the connection is idle and not even a part of a request has arrived. */
--- a/node/src/main/java/loadbalancer/client/ReadAheadHandler.java
+++ b/node/src/main/java/loadbalancer/client/ReadAheadHandler.java
@@ -83,11 +83,21 @@
         return arrivedAtNanos;
     }
 
+    /** Returns the earliest time at which the input that has not been passed on yet may have arrived. */
+    long unreadSinceNanos() {
+        if (!held.isEmpty()) {
+            return held.peek().arrivedAtNanos;
+        }
+        return behind ? estimator.earliestUnreadNanos() : System.nanoTime();
+    }
+
     // ---------------------------------------------------------------- flow control
 
     /** Stops the input of the handlers behind this one. A message that is being decoded may still bring more parts. */
     void pause() {
         if (paused) {
+            // Reading ahead may be useful again.
+            readAhead();
             return;
         }
         paused = true;
--- a/node/src/main/java/loadbalancer/client/RequestAssembler.java
+++ b/node/src/main/java/loadbalancer/client/RequestAssembler.java
@@ -17,8 +17,8 @@
 import java.nio.charset.StandardCharsets;
 import loadbalancer.http.HttpBodies;
 import loadbalancer.http.TransferCodings;
-import loadbalancer.transfer.FlowControl;
 import loadbalancer.transfer.RequestBody;
+import loadbalancer.transfer.RequestSource;
 import loadbalancer.transfer.TransferLimits;
 
 /**
@@ -28,7 +28,7 @@
  * {@link #discardBuffered} is called. The caller of {@link #read} releases the part. All methods are called on the
  * event loop.
  */
-final class RequestAssembler implements FlowControl {
+final class RequestAssembler implements RequestSource {
     /** Receives the assembled requests. */
     interface Listener {
         /** The head of a request has arrived and is about to be parsed. */
@@ -138,7 +138,7 @@
         if (droppedBody != null) {
             RequestBody dropped = droppedBody;
             droppedBody = null;
-            dropped.endDropped();
+            dropped.endDropped(partArrivedAtNanos);
         }
     }
 
@@ -229,7 +229,7 @@
             listener.onLocalResponse(localResponse.status, localResponse.body);
         } else if (streamedBody != null) {
             state.markClientValidated();
-            streamedBody.end();
+            streamedBody.end(partArrivedAtNanos);
         } else {
             byte[] body = buffered == null ? HttpBodies.EMPTY : ByteBufUtil.getBytes(buffered);
             discardBuffered();
@@ -263,6 +263,11 @@
         }
     }
 
+    @Override
+    public long unreadSinceNanos() {
+        return readAhead.unreadSinceNanos();
+    }
+
     /** Flushes to the server the parts of a streamed body that have been read. */
     void flush() {
         if (streamedBody != null) {
@@ -312,9 +317,9 @@
         return streamedBody != null;
     }
 
-    /** Returns whether the request has a body that is being sent to a server for good. */
-    boolean isBodyCommitted() {
-        return streamedBody != null && streamedBody.isCommitted();
+    /** Returns whether the body of the request is being sent to a server as it arrives. */
+    boolean isBodyBeingSent() {
+        return streamedBody != null && streamedBody.hasSink();
     }
 
     boolean isReadingPaused() {
--- a/node/src/main/java/loadbalancer/request/ProxiedRequest.java
+++ b/node/src/main/java/loadbalancer/request/ProxiedRequest.java
@@ -129,7 +129,7 @@
     /** Follows the arrival of a streamed body; a request without one has already arrived in full. */
     void start() {
         if (request.streamedBody() == null) {
-            listener.onReceived(this);
+            listener.onReceived(this, arrivedAtUs());
         } else {
             request.streamedBody().setListener(new BodyListener());
         }
@@ -146,8 +146,13 @@
         }
 
         @Override
-        public void onReceived() {
-            listener.onReceived(ProxiedRequest.this);
+        public void onBlocked(boolean blocked) {
+            writingAttempt.onBodyBlocked(blocked);
+        }
+
+        @Override
+        public void onReceived(long arrivedAtNanos) {
+            listener.onReceived(ProxiedRequest.this, services.clock().unixMicrosOf(arrivedAtNanos));
         }
     }
 
--- a/node/src/main/java/loadbalancer/request/ProxiedRequestListener.java
+++ b/node/src/main/java/loadbalancer/request/ProxiedRequestListener.java
@@ -2,8 +2,8 @@
 
 /** Notified of the state changes of requests. All methods are called on the event loop. */
 interface ProxiedRequestListener {
-    /** The request has arrived in full. */
-    void onReceived(ProxiedRequest request);
+    /** The request has arrived in full, its last byte at this time at the earliest. */
+    void onReceived(ProxiedRequest request, long arrivedAtUs);
 
     /** Returns whether a response may be streamed, so that its end is up to the server and the client. */
     boolean mayStreamResponse(ProxiedRequest request);
--- a/node/src/main/java/loadbalancer/request/RequestTable.java
+++ b/node/src/main/java/loadbalancer/request/RequestTable.java
@@ -110,15 +110,11 @@
     }
 
     @Override
-    public void onReceived(ProxiedRequest request) {
+    public void onReceived(ProxiedRequest request, long arrivedAtUs) {
         if (!request.isEnded()) {
             pendingCount++;
-            ClientRequest received = request.clientRequest();
-            long receivedAtUs = received.streamedBody() == null
-                    ? request.arrivedAtUs()
-                    : services.clock().nowUs();
-            request.setReceived(
-                    Math.min(shutdownDeadlineUs, receivedAtUs + received.head().remainingUs()));
+            long remainingUs = request.clientRequest().head().remainingUs();
+            request.setReceived(Math.min(shutdownDeadlineUs, arrivedAtUs + remainingUs));
         }
     }
 
--- a/node/src/main/java/loadbalancer/request/UpstreamAttempt.java
+++ b/node/src/main/java/loadbalancer/request/UpstreamAttempt.java
@@ -107,7 +107,7 @@
         if (ended) {
             return;
         }
-        if (deadlineUs() <= createdAtUs || !request.allowsAttempt(number)) {
+        if (endUs() <= createdAtUs || !request.allowsAttempt(number)) {
             onEnded(AttemptResult.MOOT, HttpBodies.EMPTY);
             return;
         }
@@ -128,6 +128,29 @@
         }
     }
 
+    /**
+     * Limits the time for which the server takes nothing of a body that has not arrived in full: the client may have
+     * sent all of it when the node stopped to read it, and its time runs from then.
+     */
+    void onBodyBlocked(boolean blocked) {
+        cancelTimeout();
+        if (blocked && !isResponseStarted()) {
+            scheduleAt(endUs());
+        }
+    }
+
+    /**
+     * Returns when the time of the client ends, or may end if the request has not arrived in full: the rest of a
+     * streamed body may have arrived although it has not been read.
+     */
+    private long endUs() {
+        if (request.isReceived()) {
+            return deadlineUs();
+        }
+        long unreadSinceUs = services.clock().unixMicrosOf(streamedBody().unreadSinceNanos());
+        return unreadSinceUs + request.clientRequest().head().remainingUs();
+    }
+
     /** Starts the timeout, as the client has sent the whole request. */
     void onRequestReceived() {
         if (!isResponseStarted()) {
@@ -144,9 +167,7 @@
     @Override
     public FullHttpRequest createMessage() {
         request.onAttemptWriting(this);
-        long remainingUs = request.isReceived()
-                ? deadlineUs() - services.clock().nowUs()
-                : request.clientRequest().head().remainingUs();
+        long remainingUs = endUs() - services.clock().nowUs();
         return UpstreamMessageFactory.attempt(request.clientRequest(), request.className(), remainingUs);
     }
 
@@ -214,11 +235,14 @@
     private void scheduleTimeout() {
         cancelTimeout();
         if (!isResponseStarted()) {
-            long delayUs = deadlineUs() - services.clock().nowUs();
-            timeout = services.loop().schedule(this::expire, delayUs, TimeUnit.MICROSECONDS);
+            scheduleAt(deadlineUs());
         }
     }
 
+    private void scheduleAt(long atUs) {
+        timeout = services.loop().schedule(this::expire, atUs - services.clock().nowUs(), TimeUnit.MICROSECONDS);
+    }
+
     private void cancelTimeout() {
         if (timeout != null) {
             timeout.cancel(false);
--- a/node/src/main/java/loadbalancer/transfer/RequestBody.java
+++ b/node/src/main/java/loadbalancer/transfer/RequestBody.java
@@ -33,11 +33,18 @@
         /** A part after the retained beginning is being forwarded: the body can no longer be replayed. */
         void onCommitted();
 
-        /** The client has sent all of the body. */
-        void onReceived();
+        /** The server has stopped to take the body, so that the client is paused, or takes it again. */
+        void onBlocked(boolean blocked);
+
+        /**
+         * The client has sent all of the body.
+         *
+         * @param arrivedAtNanos the earliest time at which its last byte may have arrived, by {@link System#nanoTime}
+         */
+        void onReceived(long arrivedAtNanos);
     }
 
-    private final FlowControl client;
+    private final RequestSource client;
     private final long length;
 
     private Listener listener;
@@ -49,6 +56,7 @@
     private boolean received;
     private boolean truncated;
     private boolean clientPaused = true;
+    private boolean blocked;
     private long forwardedBytes;
     private Sink sink;
 
@@ -59,7 +67,7 @@
      * @param length the announced length in bytes, or -1 if the body is chunked
      * @param beginning the part that has arrived, which this body takes ownership of
      */
-    public RequestBody(FlowControl client, long length, ByteBuf beginning) {
+    public RequestBody(RequestSource client, long length, ByteBuf beginning) {
         this.client = client;
         this.length = length;
         this.beginning = beginning;
@@ -81,9 +89,9 @@
         return beginning != null && sink == null;
     }
 
-    /** Returns whether a part after the beginning has been forwarded, so that no other server can get the body. */
-    public boolean isCommitted() {
-        return beginning == null;
+    /** Returns whether a server gets the body now. */
+    public boolean hasSink() {
+        return sink != null;
     }
 
     /** Returns whether the client is paused because the server does not read fast enough. */
@@ -91,6 +99,14 @@
         return sink != null && clientPaused && !received;
     }
 
+    /**
+     * Returns the earliest time at which the rest of the body may have arrived, by {@link System#nanoTime}. Only for a
+     * body that has not been received.
+     */
+    public long unreadSinceNanos() {
+        return client.unreadSinceNanos();
+    }
+
     /** Returns the number of bytes after the beginning that have been forwarded to servers. */
     public long forwardedBytes() {
         return forwardedBytes;
@@ -108,23 +124,23 @@
         }
     }
 
-    /** Ends the body: the client has sent all of it. */
-    public void end() {
+    /** Ends the body: the client has sent all of it, and its last byte may have arrived at this time. */
+    public void end(long arrivedAtNanos) {
         received = true;
         if (sink != null) {
             sink.finish();
         }
-        listener.onReceived();
+        listener.onReceived(arrivedAtNanos);
     }
 
     /**
      * Ends a body whose rest was dropped, because a response had started: the client has sent all of it, and no server
-     * gets its end.
+     * gets its end. Its last byte may have arrived at this time.
      */
-    public void endDropped() {
+    public void endDropped(long arrivedAtNanos) {
         received = true;
         truncated = true;
-        listener.onReceived();
+        listener.onReceived(arrivedAtNanos);
     }
 
     /** Returns whether the body has ended without its end being forwarded to a server. */
@@ -144,6 +160,7 @@
     /** Streams the body to a server from its start. Requires {@link #isReplayable}. */
     public void streamTo(Sink server) {
         sink = server;
+        blocked = false;
         sink.write(beginning.retainedDuplicate());
         while (!backlog.isEmpty()) {
             forward(backlog.poll());
@@ -171,6 +188,10 @@
             return;
         }
         boolean pause = !sink.isWritable();
+        if (pause != blocked) {
+            blocked = pause;
+            listener.onBlocked(blocked);
+        }
         if (pause != clientPaused) {
             clientPaused = pause;
             if (pause) {
--- a/node/src/main/java/loadbalancer/transfer/TransferLimits.java
+++ b/node/src/main/java/loadbalancer/transfer/TransferLimits.java
@@ -26,7 +26,7 @@
     public static final int MAX_READ_BYTES = 16 << 10;
 
     /**
-     * SO_SNDBUF of the connections. With a much larger buffer, a connection to a slow peer would seem to stall while
+     * SO_SNDBUF of client connections. With a much larger buffer, a connection to a slow peer would seem to stall while
      * the buffer drains, and data that is only in the buffer would seem to have arrived.
      */
     public static final int SOCKET_SEND_BUFFER_BYTES = 64 << 10;
@@ -35,7 +35,13 @@
      * SO_RCVBUF of client connections. What waits in the buffer has been written by the client, whose time runs, but is
      * not known to the node. It also bounds the memory of clients that are not read.
      */
-    public static final int SOCKET_RECEIVE_BUFFER_BYTES = 64 << 10;
+    public static final int SOCKET_RECEIVE_BUFFER_BYTES = 32 << 10;
+
+    /**
+     * SO_SNDBUF of connections to servers. What a slow server has still to read of a large request costs the client
+     * time that runs from its last byte. Buffers much smaller than a loopback segment (64 KiB) stall TCP.
+     */
+    public static final int UPSTREAM_SEND_BUFFER_BYTES = 32 << 10;
 
     /** How many times a socket is read in one turn of the event loop. */
     public static final int MAX_READS_PER_TURN = 4;
--- a/node/src/main/java/loadbalancer/upstream/ServerPool.java
+++ b/node/src/main/java/loadbalancer/upstream/ServerPool.java
@@ -55,7 +55,7 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, TransferLimits.ALLOCATOR)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.SO_SNDBUF, TransferLimits.SOCKET_SEND_BUFFER_BYTES)
+                .option(ChannelOption.SO_SNDBUF, TransferLimits.UPSTREAM_SEND_BUFFER_BYTES)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, TransferLimits.WRITE_WATER_MARK)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, TransferLimits.newReadAllocator())
                 .handler(new ChannelInitializer<SocketChannel>() {
--- a/node/src/test/java/loadbalancer/process/NodeHarness.java
+++ b/node/src/test/java/loadbalancer/process/NodeHarness.java
@@ -190,6 +190,16 @@
         return client;
     }
 
+    /** Opens a connection whose client can write little more than the node and this send buffer hold. */
+    Socket connectWithSendBuffer(int bytes) throws IOException {
+        Socket client = new Socket();
+        client.setSendBufferSize(bytes);
+        client.connect(address);
+        client.setSoTimeout(20_000);
+        clients.add(client);
+        return client;
+    }
+
     /** Sends a control call and returns the whole response. */
     String controlCall(String line) throws IOException {
         try (Socket caller = new Socket(controlAddress.getAddress(), controlAddress.getPort())) {
--- a/node/src/test/java/loadbalancer/transfer/RequestBodyTest.java
+++ b/node/src/test/java/loadbalancer/transfer/RequestBodyTest.java
@@ -13,11 +13,14 @@
 
 /** Tests a streamed body between a recorded client and recorded servers. */
 class RequestBodyTest {
+    private static final long UNREAD_SINCE_NANOS = 17;
+    private static final long ARRIVED_AT_NANOS = 42;
+
     private final List<String> events = new ArrayList<>();
     private final ByteBuf beginning = buffer("beginning ");
     private final RequestBody body = new RequestBody(new RecordingClient(), -1, beginning);
 
-    private final class RecordingClient implements FlowControl {
+    private final class RecordingClient implements RequestSource {
         @Override
         public void pauseReading() {
             events.add("paused");
@@ -27,6 +30,11 @@
         public void resumeReading() {
             events.add("resumed");
         }
+
+        @Override
+        public long unreadSinceNanos() {
+            return UNREAD_SINCE_NANOS;
+        }
     }
 
     private static final class RecordingServer implements RequestBody.Sink {
@@ -64,7 +72,13 @@
             }
 
             @Override
-            public void onReceived() {
+            public void onBlocked(boolean blocked) {
+                events.add(blocked ? "blocked" : "unblocked");
+            }
+
+            @Override
+            public void onReceived(long arrivedAtNanos) {
+                assertEquals(ARRIVED_AT_NANOS, arrivedAtNanos);
                 events.add("received");
             }
         });
@@ -80,7 +94,7 @@
         RecordingServer server = new RecordingServer();
         body.streamTo(server);
         body.add(buffer("rest"));
-        body.end();
+        body.end(ARRIVED_AT_NANOS);
         assertEquals("beginning backlog rest", server.written.toString());
         assertTrue(server.finished);
         assertEquals(List.of("paused", "committed", "resumed", "received"), events);
@@ -122,7 +136,7 @@
         server.writable = true;
         body.updateBackpressure();
         assertFalse(body.isBlockedByServer());
-        assertEquals(List.of("paused", "resumed", "paused", "resumed"), events);
+        assertEquals(List.of("paused", "resumed", "blocked", "paused", "unblocked", "resumed"), events);
     }
 
     /** A server that has got a part of a body must not take it for complete when its rest has been dropped. */
@@ -132,7 +146,7 @@
         body.streamTo(server);
         body.add(buffer("part"));
         assertFalse(body.isTruncated());
-        body.endDropped();
+        body.endDropped(ARRIVED_AT_NANOS);
         assertTrue(body.isTruncated());
         assertFalse(server.finished);
         assertEquals(List.of("paused", "resumed", "committed", "received"), events);
