Ask before each attempt whether the client has left behind input that is not read

Cause: while a body is being sent, its client is not read ahead, so that its close is not known when the attempt ends; notifyIfClosed only looks at the channel.

Attempts of other requests start as before.

--- a/node/src/main/java/loadbalancer/client/ClientConnection.java
+++ b/node/src/main/java/loadbalancer/client/ClientConnection.java
@@ -122,7 +122,7 @@
      * Notifies the close listener if the channel is already inactive. Netty calls {@link #channelInactive} in a later
      * task, and until then the client would seem to be connected. The listener is not notified a second time.
      */
-    public void notifyIfClosed() {
+    private void notifyIfClosed() {
         CloseListener listener = closeListener;
         if (!channel.isActive() && listener != null) {
             closeListener = null;
@@ -130,6 +130,17 @@
         }
     }
 
+    /**
+     * Runs an action that must not be taken if the client has left, once all that tells whether it has is read. The
+     * close listener is notified before that if the channel is inactive.
+     */
+    public void whenInputIsRead(Runnable action) {
+        readAhead.afterReadAhead(() -> {
+            notifyIfClosed();
+            action.run();
+        });
+    }
+
     /** Sets the listener that is notified if the client is gone before the response to the open request has ended. */
     public void setCloseListener(CloseListener listener) {
         closeListener = listener;
--- a/node/src/main/java/loadbalancer/client/ReadAheadHandler.java
+++ b/node/src/main/java/loadbalancer/client/ReadAheadHandler.java
@@ -52,6 +52,9 @@
     private Future<?> timer;
 
     private boolean releaseScheduled;
+    /** The number of reads from the socket. */
+    private long reads;
+
     private long heldBytes;
     /** The arrival of the input that is being decoded. */
     private long arrivedAtNanos;
@@ -154,6 +157,7 @@
     @Override
     public void channelRead(ChannelHandlerContext reading, Object message) {
         ByteBuf bytes = (ByteBuf) message;
+        reads++;
         long nowNanos = earliestArrivalNanos.getAsLong();
         long arrival = behind ? Math.min(nowNanos, estimator.onRead(bytes.readableBytes(), nowNanos)) : nowNanos;
         // A read that has not filled its buffer has emptied the socket.
@@ -189,6 +193,32 @@
         readAhead();
     }
 
+    /**
+     * Runs an action that must not be taken if the client has left. If the input has been behind for long, the end of
+     * the stream may lie in it: the action then runs once a turn of the event loop has found nothing more to read, or
+     * no more may be held.
+     */
+    void afterReadAhead(Runnable action) {
+        boolean mayHideEnd = readingAhead && mustHold() && context.channel().isActive();
+        if (!mayHideEnd || !budget.allows(heldBytes, TransferLimits.MAX_READ_BYTES)) {
+            action.run();
+            return;
+        }
+        long readsBefore = reads;
+        context.read();
+        context.executor()
+                .schedule(
+                        () -> {
+                            if (reads == readsBefore) {
+                                action.run();
+                            } else {
+                                afterReadAhead(action);
+                            }
+                        },
+                        0,
+                        TimeUnit.NANOSECONDS);
+    }
+
     private void scheduleReadAhead() {
         cancelTimer();
         timer = context.executor().schedule(this::onTimer, READ_AHEAD_DELAY_MS, TimeUnit.MILLISECONDS);
--- a/node/src/main/java/loadbalancer/request/ProxiedRequest.java
+++ b/node/src/main/java/loadbalancer/request/ProxiedRequest.java
@@ -201,14 +201,7 @@
         // Started by a timer, after the I/O events of this turn and the timers that are already due. After a stall of
         // the loop these may be a disconnect of the client, a drain of the server or a timeout, each of which must stop
         // the attempt from being sent.
-        services.loop()
-                .schedule(
-                        () -> {
-                            client.notifyIfClosed();
-                            attempt.start();
-                        },
-                        0,
-                        TimeUnit.NANOSECONDS);
+        services.loop().schedule(() -> client.whenInputIsRead(attempt::start), 0, TimeUnit.NANOSECONDS);
     }
 
     void cancelAttempt(int number) {
--- a/node/src/test/java/loadbalancer/process/UnreadClientCloseTest.java
+++ b/node/src/test/java/loadbalancer/process/UnreadClientCloseTest.java
@@ -5,6 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -134,6 +137,76 @@
         }
     }
 
+    /**
+     * Guards against further attempts for a client that has left while a server did not take its large request: the
+     * server rejects it later, when the node has not read the client for a while.
+     */
+    @Test
+    void largeRequestIsNotSentAgainWhenItIsRejectedAfterItsClientHasLeft() throws Exception {
+        CountDownLatch rejectionAllowed = new CountDownLatch(1);
+        CountDownLatch headRead = new CountDownLatch(1);
+        try (RejectingServer rejecting = new RejectingServer(headRead, rejectionAllowed);
+                FakeServer server = FakeServer.respondingWith("x");
+                NodeHarness harness = NodeHarness.withSilentDiscovery()) {
+            harness.hasControl = true;
+            harness.startWithList(NodeHarness.endpointList(1, true, rejecting.entry("s0")));
+            Socket client = harness.connect();
+            NodeHarness.write(client, largeOrder(1_000_000));
+            FakeServer.awaitLatch(headRead);
+            harness.announceServer("s1", server);
+            harness.awaitMetric("node_known_app_servers 2");
+            client.close();
+            awaitAttemptForbidden(harness);
+            rejectionAllowed.countDown();
+            rejecting.awaitClosed();
+            awaitAttemptForbidden(harness);
+            assertEquals(0, server.connectionCount.get(), "sent for a client that has left");
+        }
+    }
+
+    /** A server that reads the head of a request and rejects it later, without reading its body. */
+    private static final class RejectingServer implements AutoCloseable {
+        private final ServerSocket listener = new ServerSocket();
+        private final CountDownLatch closed = new CountDownLatch(1);
+
+        RejectingServer(CountDownLatch headRead, CountDownLatch rejectionAllowed) throws IOException {
+            // So small that the beginning of the body fills the buffers, which the node can send to another server.
+            listener.setReceiveBufferSize(4 << 10);
+            listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            Thread thread = new Thread(
+                    () -> {
+                        try (Socket connection = listener.accept()) {
+                            Http.readHead(connection.getInputStream());
+                            headRead.countDown();
+                            FakeServer.awaitLatch(rejectionAllowed);
+                            NodeHarness.write(connection, REJECTION);
+                            connection.shutdownOutput();
+                            connection.getInputStream().readAllBytes();
+                        } catch (IOException e) {
+                            // The node has closed the connection.
+                        } finally {
+                            closed.countDown();
+                        }
+                    },
+                    "rejecting-server");
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        String entry(String id) {
+            return id + "=127.0.0.1:" + listener.getLocalPort() + "=Ready";
+        }
+
+        void awaitClosed() throws IOException {
+            FakeServer.awaitLatch(closed);
+        }
+
+        @Override
+        public void close() throws IOException {
+            listener.close();
+        }
+    }
+
     /** Guards against a client that is held up for good: what was read ahead of its turn must be served in order. */
     @Test
     void requestsThatWereReadAheadAreServedInOrder() throws Exception {
