LateConnectionTest waits for the dial by timers that are set on the loop

Cause: attempts start by a timer that is due at once. The test awaited tasks, later timers set from its own thread, which Netty runs as tasks when they are due; all four may run before the loop fetches its timers. The test then let the server accept before the dial, so that the connection did not open late. No fault of the node.

Change: NodeHarness.awaitDueTimers sets its timer on the loop, where it runs behind those that were set before it. No check of the test changed.

--- a/node/src/test/java/loadbalancer/process/LateConnectionTest.java
+++ b/node/src/test/java/loadbalancer/process/LateConnectionTest.java
@@ -42,13 +42,12 @@
 
     /**
      * Waits until the node has dialed the connection of an attempt. The balancer's choice, the start of the attempt and
-     * the dial each run in a separate task or timer. A timer of the test runs after the timers that are due before it,
-     * and after the tasks that were queued before it became due; a mere task could run before them. If the server
-     * accepted before the dial, the connection would not open late.
+     * the dial each run in a separate task or timer of the loop. If the server accepted before the dial, the connection
+     * would not open late.
      */
     private static void awaitDial(NodeHarness harness) throws InterruptedException {
         for (int step = 0; step < STEPS_UP_TO_DIAL; step++) {
-            harness.loop.schedule(() -> {}, 0, TimeUnit.NANOSECONDS).sync();
+            harness.awaitDueTimers();
         }
     }
 
--- a/node/src/test/java/loadbalancer/process/NodeHarness.java
+++ b/node/src/test/java/loadbalancer/process/NodeHarness.java
@@ -257,6 +257,16 @@
         loop.submit(() -> {}).sync();
     }
 
+    /**
+     * Waits until the loop has run the timers that are due now. A timer that is set from another thread and is due at
+     * once runs like a task, ahead of them, so the one that is awaited here is set on the loop.
+     */
+    void awaitDueTimers() throws InterruptedException {
+        CountDownLatch run = new CountDownLatch(1);
+        loop.execute(() -> loop.schedule(run::countDown, 0, TimeUnit.NANOSECONDS));
+        assertTrue(run.await(20, TimeUnit.SECONDS));
+    }
+
     public static Http.Message exchange(Socket client, String request) throws IOException {
         write(client, request);
         return Http.readMessage(client.getInputStream());
