Notice that input has caught up also after a read that has just filled its buffer

An input that had been behind counted as behind until a read left room in its buffer. Where the last read filled it, the next request, which may come much later, would have carried the time of the old pause, and could have been rejected as late.

Change: a turn of reads that ended by itself has emptied the socket.

--- a/node/src/main/java/loadbalancer/client/ReadAheadHandler.java
+++ b/node/src/main/java/loadbalancer/client/ReadAheadHandler.java
@@ -52,9 +52,11 @@
     private Future<?> timer;
 
     private boolean releaseScheduled;
-    /** The number of reads from the socket. */
+    /** The number of reads from the socket, and their number before those of this turn of the event loop. */
     private long reads;
 
+    private long readsBeforeTurn;
+
     private long heldBytes;
     /** The arrival of the input that is being decoded. */
     private long arrivedAtNanos;
@@ -189,6 +191,13 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext reading) {
+        boolean socketEmptied = reads - readsBeforeTurn < TransferLimits.MAX_READS_PER_TURN
+                && context.channel().config().isAutoRead();
+        readsBeforeTurn = reads;
+        if (socketEmptied && !mustHold()) {
+            // Also where the last read has just filled its buffer.
+            onSocketEmptied();
+        }
         reading.fireChannelReadComplete();
         readAhead();
     }
--- a/node/src/test/java/loadbalancer/client/ReadAheadHandlerTest.java
+++ b/node/src/test/java/loadbalancer/client/ReadAheadHandlerTest.java
@@ -9,6 +9,7 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.io.ByteArrayOutputStream;
 import java.util.Random;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -63,6 +64,20 @@
         assertTrue(channel.config().isAutoRead(), "reading is paused for good");
     }
 
+    /**
+     * Guards against rejecting a request for time that it has not waited: the input has caught up by a read that has
+     * just filled its buffer, and the next request comes later.
+     */
+    @Test
+    void inputIsNotBehindAfterAReadThatHasFilledItsBuffer() {
+        handler.pause();
+        handler.resume();
+        channel.runPendingTasks();
+        read(new byte[100]);
+        long nowNanos = System.nanoTime();
+        assertTrue(handler.unreadSinceNanos() >= nowNanos, "unread input may have arrived before");
+    }
+
     /** Guards against memory that is never freed: a connection ends, or its input is discarded. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
