--- a/cli/src/main/java/loadbalancer/cli/Fleet.java
+++ b/cli/src/main/java/loadbalancer/cli/Fleet.java
@@ -40,7 +40,7 @@
 @Command(
         name = "fleet",
         mixinStandardHelpOptions = true,
-        subcommands = {FleetDemo.class, FleetMembers.class, FleetScale.class, FleetStudy.class},
+        subcommands = {FleetDemo.class, FleetMembers.class, FleetScale.class, FleetSoak.class, FleetStudy.class},
         description = "Runs fleets of nodes with injected faults and checks rules; shows members of running fleets.")
 final class Fleet {
     private static final String JAR = "jar:";
--- /dev/null
+++ b/harness/src/test/java/loadbalancer/harness/soak/SoakRunTest.java
@@ -0,0 +1,33 @@
+package loadbalancer.harness.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import java.nio.file.Path;
+import java.util.List;
+import loadbalancer.harness.process.DeployFile;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A short soak of a node as a process. Requires the packaged jar of the node; `lb fleet soak` runs longer ones. */
+class SoakRunTest {
+    private static final int LENGTH_MS = 12_000;
+
+    @TempDir
+    private Path folder;
+
+    /**
+     * Guards against requests that are sent on after their clients have left, that are lost, run twice or are answered
+     * by another one's response, whatever clients, servers and replacements of the process do.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void rulesForRequestsAreKept(long seed) throws Exception {
+        DeployFile deploy = DeployFile.find(Path.of(""));
+        SoakReport report = SoakRun.play(SoakPlan.of(seed, LENGTH_MS), deploy.root(), deploy.run(), folder);
+        System.out.println(report);
+        assertEquals(List.of(), report.violations());
+        assertFalse(report.ordinaryWaitsMs().isEmpty());
+    }
+}
