Log and count attempts that begin while it is unknown whether the client has left

Nothing told how long the node had not looked for the end of a client's stream, nor how much input is held, so that the candidate causes could not be told apart. Change: EndOfStreamWatch keeps the time up to which the client is known to be there; an attempt that begins over 0.1 s later is logged (attempt_unconfirmed) and counted (node_unconfirmed_tries). The soak gets a discovery service that has no news, so that its logs are readable. No other behaviour changes.

--- a/harness/src/main/java/loadbalancer/harness/soak/SoakRun.java
+++ b/harness/src/main/java/loadbalancer/harness/soak/SoakRun.java
@@ -45,11 +45,11 @@
     }
 
     private SoakReport play(Path root, String command) throws IOException, InterruptedException {
-        try {
+        try (SoakDiscovery discovery = new SoakDiscovery()) {
             for (int i = 0; i < SoakPlan.SERVERS; i++) {
                 servers.add(new SoakServer("s-" + i, ledger));
             }
-            Path config = Files.writeString(folder.resolve("config.json"), configuration());
+            Path config = Files.writeString(folder.resolve("config.json"), configuration(discovery.address()));
             try (SoakPlatform platform = new SoakPlatform(root, command, folder, config, ledger)) {
                 return play(platform);
             }
@@ -133,13 +133,13 @@
     }
 
     /** Returns the configuration of the node, with the names of the platform's page. */
-    private String configuration() {
+    private String configuration(String discovery) {
         StringBuilder known = new StringBuilder();
         for (SoakServer server : servers) {
             known.append(known.isEmpty() ? "" : ",").append(server.entry("ebene"));
         }
-        return "{\"name\":\"n1\",\"listen\":\"127.0.0.1:1\",\"control\":\"127.0.0.1:1\",\"discovery\":\"127.0.0.1:9\","
-                + "\"seed\":\"" + String.format("%016x", plan.seed()) + "\",\"limits\":{\"cores\":1.0,\"memory_mb\":"
+        return "{\"name\":\"n1\",\"listen\":\"127.0.0.1:1\",\"control\":\"127.0.0.1:1\",\"discovery\":\"" + discovery
+                + "\",\"seed\":\"" + String.format("%016x", plan.seed()) + "\",\"limits\":{\"cores\":1.0,\"memory_mb\":"
                 + MEMORY_MB + ",\"sockets\":1024},\"known\":{\"rev\":1,\"all\":true,\"targets\":[" + known
                 + "]},\"settings\":{\"balancers\":1,\"me\":0,\"callers\":{\"marksRetry\":true},\"classes\":["
                 + RequestKind.SEARCH.settings() + "," + RequestKind.ORDER.settings() + ","
--- a/node/src/main/java/loadbalancer/admin/Metrics.java
+++ b/node/src/main/java/loadbalancer/admin/Metrics.java
@@ -26,6 +26,7 @@
     private final Map<String, long[]> finishedRequests = new LinkedHashMap<>();
 
     private long attempts;
+    private long unconfirmedAttempts;
     private long configLoads;
     private long configErrors;
 
@@ -46,6 +47,11 @@
         attempts++;
     }
 
+    /** Counts an attempt that began although its client may have left before. */
+    public void onUnconfirmedAttempt() {
+        unconfirmedAttempts++;
+    }
+
     /** Counts a configuration file that has been applied by a reload. */
     public void onConfigLoaded() {
         configLoads++;
@@ -68,6 +74,10 @@
         return attempts;
     }
 
+    long unconfirmedAttempts() {
+        return unconfirmedAttempts;
+    }
+
     long configLoads() {
         return configLoads;
     }
--- a/node/src/main/java/loadbalancer/admin/MetricsRenderer.java
+++ b/node/src/main/java/loadbalancer/admin/MetricsRenderer.java
@@ -7,6 +7,7 @@
     private static final String CLASS_LABEL = "category";
     private static final String OUTCOME_LABEL = "outcome";
     private static final String ATTEMPTS = "upstream_tries";
+    private static final String UNCONFIRMED_ATTEMPTS = "unconfirmed_tries";
     private static final String OPEN_REQUESTS = "in_progress";
     private static final String LISTED_SERVERS = "known_app_servers";
     private static final String EXCLUDED_SERVERS = "skipped_app_servers";
@@ -26,6 +27,7 @@
             }
         }
         appendLine(text, ATTEMPTS, metrics.attempts());
+        appendLine(text, UNCONFIRMED_ATTEMPTS, metrics.unconfirmedAttempts());
         appendLine(text, OPEN_REQUESTS, gauges.openRequests());
         appendLine(text, LISTED_SERVERS, gauges.listedServers());
         appendLine(text, EXCLUDED_SERVERS, gauges.excludedServers());
--- a/node/src/main/java/loadbalancer/client/ClientConnection.java
+++ b/node/src/main/java/loadbalancer/client/ClientConnection.java
@@ -23,27 +23,13 @@
  * handler of a request sends exactly one response: by {@link #sendResponse}, or by {@link #startResponse} followed by
  * {@link #endResponse} or {@link #abortResponse}.
  *
- * <p>A half-closed connection is not kept open. {@code ChannelOption.ALLOW_HALF_CLOSURE} is off, so Netty closes the
- * channel when it reads the end of the client's stream, even if the client has shut down only its output and still
- * waits for a response. The end of the stream is noticed only by reading up to it. While the input is paused, because
- * the queue of pipelined requests is full or a streamed body must wait, {@link ReadAheadHandler} does that. When the
- * channel becomes inactive, the {@link
- * CloseListener} of the open request is notified, and pipelined requests are dropped without being sent to a server.
+ * <p>{@link ClientPresence} tells whether the client is still there. When the channel becomes inactive, the close
+ * listener of the open request is notified, and pipelined requests are dropped without being sent to a server.
  *
  * <p>All methods are called on the event loop. This handler releases the inbound messages that it reads. The channel
  * releases the parts of responses that are written to it.
  */
 public final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
-    /** Notified when the client of an open request is gone. */
-    public interface CloseListener {
-        /**
-         * Called at most once, after which no response can be sent any more: the connection has closed before the
-         * end of the response was written to the channel, or the rest of the request could not be read and the
-         * connection has sent an error response itself.
-         */
-        void onClientGone();
-    }
-
     private final ClientConnectionOwner owner;
     private final SocketChannel channel;
     private final StrictServerCodec codec;
@@ -55,9 +41,7 @@
     private final ResponseWriter writer;
     private final ConnectionTimeouts timeouts;
     private final LingeringClose lingeringClose;
-
-    /** Set by the handler of the open request; null if there is none or its whole response has been passed on. */
-    private CloseListener closeListener;
+    private final ClientPresence presence;
 
     ClientConnection(SocketChannel channel, ClientConnectionOwner owner) {
         this.channel = channel;
@@ -70,6 +54,7 @@
         writer = new ResponseWriter(channel, state, written -> onResponseWritten());
         timeouts = new ConnectionTimeouts(state, assembler, writer);
         lingeringClose = new LingeringClose(channel);
+        presence = new ClientPresence(channel, readAhead, owner.readAheadBudget());
     }
 
     /**
@@ -101,7 +86,7 @@
 
     /** Returns whether one of the timeouts for an inactive or slow client has passed. */
     boolean isOverdue(long nowNanos) {
-        return timeouts.isOverdue(nowNanos, closeListener != null);
+        return timeouts.isOverdue(nowNanos, presence.isResponseDue());
     }
 
     /** Closes the connection immediately; responses that are still in transit may be lost. */
@@ -118,32 +103,9 @@
         });
     }
 
-    /**
-     * Notifies the close listener if the channel is already inactive. Netty calls {@link #channelInactive} in a later
-     * task, and until then the client would seem to be connected. The listener is not notified a second time.
-     */
-    private void notifyIfClosed() {
-        CloseListener listener = closeListener;
-        if (!channel.isActive() && listener != null) {
-            closeListener = null;
-            listener.onClientGone();
-        }
-    }
-
-    /**
-     * Runs an action that must not be taken if the client has left, once all that tells whether it has is read. The
-     * close listener is notified before that if the channel is inactive.
-     */
-    public void whenInputIsRead(Runnable action) {
-        readAhead.afterReadAhead(() -> {
-            notifyIfClosed();
-            action.run();
-        });
-    }
-
-    /** Sets the listener that is notified if the client is gone before the response to the open request has ended. */
-    public void setCloseListener(CloseListener listener) {
-        closeListener = listener;
+    /** Returns what tells whether the client of the open request is still there. */
+    public ClientPresence presence() {
+        return presence;
     }
 
     // ---------------------------------------------------------------- requests
@@ -186,7 +148,7 @@
                 // A programming error must not leave the request without a response. A handler that has set a close
                 // listener has taken the request over and is responsible for its response.
                 Log.error("request_error", e, "uri", request.head().uri());
-                if (closeListener == null) {
+                if (!presence.isResponseDue()) {
                     sendResponse(HttpResponseStatus.INTERNAL_SERVER_ERROR, HttpBodies.EMPTY, 0);
                 }
             }
@@ -205,7 +167,7 @@
                 return;
             }
             state.requestRejected();
-            CloseListener listener = closeListener;
+            ClientPresence.CloseListener listener = presence.removeListener();
             sendResponse(status, HttpBodies.EMPTY, 0);
             if (listener != null) {
                 listener.onClientGone();
@@ -223,7 +185,7 @@
     /** Sends a complete response to the open request. {@code retryAfterUs} of 0 sends no Retry-After. */
     public void sendResponse(HttpResponseStatus status, byte[] body, long retryAfterUs) {
         FullHttpResponse response = ResponseWriter.fullResponse(status, body, retryAfterUs);
-        closeListener = null;
+        presence.removeListener();
         onResponseStarted(response);
         writer.write(response);
     }
@@ -252,13 +214,13 @@
 
     /** Ends a streamed response. The next request is served once the end has been written to the socket. */
     public void endResponse() {
-        closeListener = null;
+        presence.removeListener();
         writer.end();
     }
 
     /** Aborts a streamed response that cannot be completed, by a reset, so that the client detects the truncation. */
     public void abortResponse() {
-        closeListener = null;
+        presence.removeListener();
         writer.abort();
     }
 
@@ -327,7 +289,7 @@
         assembler.discardBuffered();
         pipelined.release();
         lingeringClose.cancel();
-        notifyIfClosed();
+        presence.notifyIfClosed();
         owner.onClosed(this);
     }
 
--- a/node/src/main/java/loadbalancer/client/ReadAheadHandler.java
+++ b/node/src/main/java/loadbalancer/client/ReadAheadHandler.java
@@ -37,6 +37,7 @@
 
     private final LongSupplier earliestArrivalNanos;
     private final ArrivalEstimator estimator = new ArrivalEstimator(TransferLimits.SOCKET_RECEIVE_BUFFER_BYTES);
+    private final EndOfStreamWatch endOfStream = new EndOfStreamWatch();
     private final ArrayDeque<Segment> held = new ArrayDeque<>();
 
     private ChannelHandlerContext context;
@@ -101,6 +102,16 @@
         return behind ? estimator.earliestUnreadNanos() : System.nanoTime();
     }
 
+    /** Returns for how long it has been unknown whether the client has ended its stream; 0 if it has not. */
+    long unconfirmedNanos() {
+        return endOfStream.unconfirmedNanos(System.nanoTime());
+    }
+
+    /** Returns the number of bytes that are held. */
+    long heldBytes() {
+        return heldBytes;
+    }
+
     // ---------------------------------------------------------------- flow control
 
     /** Stops the input of the handlers behind this one. The decoder keeps what it has not decoded. */
@@ -126,6 +137,7 @@
 
     private void stopReadingFromSocket() {
         context.channel().config().setAutoRead(false);
+        endOfStream.onPollingStopped(System.nanoTime());
         if (!behind) {
             behind = true;
             estimator.onEmpty(System.nanoTime());
@@ -161,6 +173,7 @@
         ByteBuf bytes = (ByteBuf) message;
         reads++;
         long nowNanos = earliestArrivalNanos.getAsLong();
+        endOfStream.onRead(nowNanos);
         long arrival = behind ? Math.min(nowNanos, estimator.onRead(bytes.readableBytes(), nowNanos)) : nowNanos;
         // A read that has not filled its buffer has emptied the socket.
         boolean socketEmptied = bytes.isWritable();
@@ -194,6 +207,9 @@
         boolean socketEmptied = reads - readsBeforeTurn < TransferLimits.MAX_READS_PER_TURN
                 && context.channel().config().isAutoRead();
         readsBeforeTurn = reads;
+        if (socketEmptied) {
+            endOfStream.onSocketEmpty();
+        }
         if (socketEmptied && !mustHold()) {
             // Also where the last read has just filled its buffer.
             onSocketEmptied();
@@ -219,6 +235,7 @@
                 .schedule(
                         () -> {
                             if (reads == readsBefore) {
+                                endOfStream.onSocketEmpty();
                                 action.run();
                             } else {
                                 afterReadAhead(action);
--- a/node/src/main/java/loadbalancer/request/ProxiedRequest.java
+++ b/node/src/main/java/loadbalancer/request/ProxiedRequest.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import loadbalancer.admin.RequestOutcome;
 import loadbalancer.client.ClientConnection;
+import loadbalancer.client.ClientPresence;
 import loadbalancer.client.ClientRequest;
 import loadbalancer.http.HttpBodies;
 import loadbalancer.policy.AttemptResult;
@@ -26,7 +27,7 @@
  *
  * <p>All methods are called on the event loop.
  */
-final class ProxiedRequest implements ClientConnection.CloseListener, PolicyEventQueue.FailureHandler {
+final class ProxiedRequest implements ClientPresence.CloseListener, PolicyEventQueue.FailureHandler {
     private final long id;
     private final ClientRequest request;
     private final ClientConnection client;
@@ -201,13 +202,18 @@
         // Started by a timer, after the I/O events of this turn and the timers that are already due. After a stall of
         // the loop these may be a disconnect of the client, a drain of the server or a timeout, each of which must stop
         // the attempt from being sent.
-        services.loop().schedule(() -> client.whenInputIsRead(attempt::start), 0, TimeUnit.NANOSECONDS);
+        services.loop().schedule(() -> client.presence().whenInputIsRead(attempt::start), 0, TimeUnit.NANOSECONDS);
     }
 
     void cancelAttempt(int number) {
         attempts.get(number).cancel();
     }
 
+    /** Returns what tells whether its client is still there. */
+    ClientPresence clientPresence() {
+        return client.presence();
+    }
+
     /** Records that the message of this attempt is about to be written to a connection. */
     void onAttemptWriting(UpstreamAttempt attempt) {
         writingAttempt = attempt;
--- a/node/src/main/java/loadbalancer/request/RequestTable.java
+++ b/node/src/main/java/loadbalancer/request/RequestTable.java
@@ -83,7 +83,7 @@
                 classRegistry.settings().maxAttempts,
                 this,
                 services);
-        client.setCloseListener(request);
+        client.presence().setCloseListener(request);
         requests.put(request.id(), request);
         request.start();
         submitToBalancer(request, Math.min(shutdownDeadlineUs, request.arrivedAtUs() + head.remainingUs()));
--- a/node/src/main/java/loadbalancer/request/UpstreamAttempt.java
+++ b/node/src/main/java/loadbalancer/request/UpstreamAttempt.java
@@ -5,6 +5,7 @@
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import loadbalancer.client.ClientConnection;
+import loadbalancer.client.ClientPresence;
 import loadbalancer.common.Log;
 import loadbalancer.http.HttpBodies;
 import loadbalancer.policy.AttemptOutcome;
@@ -167,10 +168,34 @@
     @Override
     public FullHttpRequest createMessage() {
         request.onAttemptWriting(this);
+        recordUnconfirmedClient();
         long remainingUs = endUs() - services.clock().nowUs();
         return UpstreamMessageFactory.attempt(request.clientRequest(), request.className(), remainingUs);
     }
 
+    /** Logs and counts an attempt that begins although it is not known whether its client has left long before. */
+    private void recordUnconfirmedClient() {
+        ClientPresence client = request.clientPresence();
+        if (!client.isUnconfirmed()) {
+            return;
+        }
+        services.metrics().onUnconfirmedAttempt();
+        Log.warn(
+                "attempt_unconfirmed",
+                "txn",
+                request.clientRequest().head().requestId(),
+                "server",
+                serverId,
+                "attempt",
+                number,
+                "unconfirmed_ms",
+                client.unconfirmedMillis(),
+                "held_bytes",
+                client.heldBytes(),
+                "held_by_all_bytes",
+                client.heldByAllBytes());
+    }
+
     @Override
     public RequestBody streamedBody() {
         return request.clientRequest().streamedBody();
