Failing tests: attempts behind unread input and stalls, time of requests on paused connections

One more fault was found by reading: a connection that was paused behind pipelined requests counts as behind for good, so that a later request on it is taken for as old as the pause and is answered 503. MetricsTest has the new metric.

--- a/node/src/test/java/loadbalancer/admin/MetricsTest.java
+++ b/node/src/test/java/loadbalancer/admin/MetricsTest.java
@@ -24,6 +24,7 @@
         metrics.onRequestFinished("page", RequestOutcome.REJECTED);
         metrics.onRequestFinished("a\"b\\c\nd", RequestOutcome.FAILED);
         metrics.onAttemptWritten();
+        metrics.onUnconfirmedAttempt();
         metrics.onConfigLoaded();
         metrics.onConfigLoaded();
         metrics.onConfigRejected();
@@ -40,6 +41,7 @@
                 node_handled{category="new",outcome="dropped"} 0
                 node_handled{category="new",outcome="bad_gateway"} 0
                 node_upstream_tries 1
+                node_unconfirmed_tries 1
                 node_in_progress 7
                 node_known_app_servers 5
                 node_skipped_app_servers 3
--- a/node/src/test/java/loadbalancer/process/NodeProgram.java
+++ b/node/src/test/java/loadbalancer/process/NodeProgram.java
@@ -5,6 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -39,6 +43,56 @@
         return builder.redirectErrorStream(true).start();
     }
 
+    /** A node in a process of its own that serves clients on this port of the loopback interface. */
+    record RunningNode(Process process, int port) implements AutoCloseable {
+        Socket connect() throws IOException {
+            Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+            socket.setSoTimeout(20_000);
+            return socket;
+        }
+
+        @Override
+        public void close() {
+            process.destroyForcibly();
+        }
+    }
+
+    /**
+     * Starts a node with a small heap, for requests of the classes page and order that may take a minute, and waits
+     * until it serves clients. It ends if it runs out of memory.
+     *
+     * @param folder a folder for its configuration
+     * @param discovery the address of its discovery service
+     * @param servers the addresses of the servers that it knows at its start, which get the ids s0, s1, ...
+     */
+    static RunningNode startWithHeap(
+            Path folder, int heapMb, int directMemoryMb, String discovery, List<String> servers) throws Exception {
+        String[] entries = new String[servers.size()];
+        for (int i = 0; i < entries.length; i++) {
+            entries[i] = "s" + i + "=" + servers.get(i) + "=Ready";
+        }
+        Path config = Files.writeString(
+                folder.resolve("config.json"), """
+                {"listen":"127.0.0.1:0","discovery":"%s","seed":"1","limits":{"sockets":512},
+                 "known":%s,
+                 "settings":{"zones":["here"],"limits":{"attemptsCap":4},
+                 "classes":[{"name":"page","onTimeUs":60000000,"giveUpUs":60000000,"repeat":"safe"},
+                  {"name":"order","onTimeUs":60000000,"giveUpUs":60000000,"repeat":"unsafe"}]}}
+                """.formatted(discovery, NodeHarness.endpointList(1, true, entries)));
+        Process program = start(
+                Map.of("PROXY_CONFIG", config.toString()),
+                "-Xmx" + heapMb + "m",
+                "-XX:MaxDirectMemorySize=" + directMemoryMb + "m",
+                "-XX:+ExitOnOutOfMemoryError");
+        try {
+            String line = awaitLine(program, "level=info event=listening ");
+            return new RunningNode(program, Integer.parseInt(line.substring(line.lastIndexOf(':') + 1)));
+        } catch (Exception | AssertionError e) {
+            program.destroyForcibly();
+            throw e;
+        }
+    }
+
     /**
      * Reads the output up to the first line that matches. Fails if the program ends before that, or if the line does
      * not come within a time that is far longer than a start on a busy machine.
--- a/node/src/test/java/loadbalancer/process/PipeliningClientsTest.java
+++ b/node/src/test/java/loadbalancer/process/PipeliningClientsTest.java
@@ -4,13 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.Socket;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -55,29 +52,16 @@
         CountDownLatch testOver = new CountDownLatch(1);
         List<Socket> clients = new ArrayList<>();
         try (FakeServer server = new FakeServer((received, connection) -> FakeServer.awaitLatch(testOver))) {
-            Path config = Files.writeString(folder.resolve("config.json"), """
-                    {"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1","limits":{"sockets":512},
-                     "known":%s,
-                     "settings":{"zones":["here"],"limits":{"attemptsCap":4},
-                     "classes":[{"name":"page","onTimeUs":60000000,"giveUpUs":60000000,"repeat":"safe"},
-                      {"name":"order","onTimeUs":60000000,"giveUpUs":60000000,"repeat":"unsafe"}]}}
-                    """.formatted(
-                            NodeHarness.endpointList(1, true, "s0=" + server.endpoint() + "=Ready")));
-            Process program = NodeProgram.start(
-                    Map.of("PROXY_CONFIG", config.toString()),
-                    "-Xmx32m",
-                    "-XX:MaxDirectMemorySize=4m",
-                    "-XX:+ExitOnOutOfMemoryError");
+            NodeProgram.RunningNode node =
+                    NodeProgram.startWithHeap(folder, 32, 4, "127.0.0.1:9", List.of(server.endpoint()));
             try {
-                String line = NodeProgram.awaitLine(program, "level=info event=listening ");
-                int port = Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
                 for (int i = 0; i < CLIENTS; i++) {
-                    Socket client = connect(port);
+                    Socket client = node.connect();
                     clients.add(client);
                     sendInBackground(client, request.text("t" + i).repeat(REQUESTS));
                 }
                 for (int i = 0; i < CLIENTS; i++) {
-                    try (Socket other = connect(port)) {
+                    try (Socket other = node.connect()) {
                         String path = "/nothing" + i;
                         assertEquals(
                                 404,
@@ -85,10 +69,10 @@
                                         .status());
                     }
                 }
-                assertTrue(program.isAlive());
+                assertTrue(node.process().isAlive());
             } finally {
                 testOver.countDown();
-                program.destroyForcibly();
+                node.close();
                 for (Socket client : clients) {
                     client.close();
                 }
@@ -96,12 +80,6 @@
         }
     }
 
-    private static Socket connect(int port) throws IOException {
-        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
-        socket.setSoTimeout(20_000);
-        return socket;
-    }
-
     /** The node does not take all of it, so that the write may block until the test is over. */
     private static void sendInBackground(Socket client, String text) {
         Thread thread = new Thread(
--- a/node/src/test/java/loadbalancer/process/SmallHeapTest.java
+++ b/node/src/test/java/loadbalancer/process/SmallHeapTest.java
@@ -8,14 +8,12 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
-import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
@@ -149,22 +147,10 @@
     void largeTransfersAtOnceArriveUnchanged(@TempDir Path folder) throws Exception {
         try (ServerSocket listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
             serve(listening);
-            Path config = Files.writeString(folder.resolve("config.json"), """
-                    {"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1","limits":{"sockets":256},
-                     "known":%s,
-                     "settings":{"zones":["here"],"limits":{"attemptsCap":4},
-                     "classes":[{"name":"page","onTimeUs":60000000,"giveUpUs":60000000,"repeat":"safe"},
-                      {"name":"order","onTimeUs":60000000,"giveUpUs":60000000,"repeat":"unsafe"}]}}
-                    """.formatted(
-                            NodeHarness.endpointList(1, true, "s0=127.0.0.1:" + listening.getLocalPort() + "=Ready")));
-            Process program = NodeProgram.start(
-                    Map.of("PROXY_CONFIG", config.toString()),
-                    "-Xmx32m",
-                    "-XX:MaxDirectMemorySize=16m",
-                    "-XX:+ExitOnOutOfMemoryError");
+            NodeProgram.RunningNode node = NodeProgram.startWithHeap(
+                    folder, 32, 16, "127.0.0.1:9", List.of("127.0.0.1:" + listening.getLocalPort()));
             try {
-                String line = NodeProgram.awaitLine(program, "level=info event=listening ");
-                int port = Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
+                int port = node.port();
                 List<Future<String>> downloads = new ArrayList<>();
                 List<Future<String>> uploads = new ArrayList<>();
                 for (int i = 0; i < EXCHANGES; i++) {
@@ -177,7 +163,7 @@
                     assertEquals(digest("upt" + i), uploads.get(i).get(60, TimeUnit.SECONDS));
                 }
             } finally {
-                program.destroyForcibly();
+                node.close();
                 threads.shutdownNow();
             }
         }
--- a/node/src/test/java/loadbalancer/process/UnreadClientCloseTest.java
+++ b/node/src/test/java/loadbalancer/process/UnreadClientCloseTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** Clients that leave while the node does not take their input: no attempt may begin long after that. */
 class UnreadClientCloseTest {
@@ -207,6 +208,50 @@
         }
     }
 
+    /**
+     * Guards against sending a request whose client has left while the node was held up: all that it has sent and the
+     * end of its stream arrived long ago, but the end lies behind more than a turn of the event loop reads.
+     */
+    @ParameterizedTest
+    @EnumSource(Departure.class)
+    void requestsThatWaitedThroughAStallAreNotSentAfterTheirClientHasLeft(Departure departure) throws Exception {
+        try (FakeServer server = FakeServer.respondingWith("x");
+                NodeHarness harness = NodeHarness.withSilentDiscovery().start(server)) {
+            Socket client = harness.connect();
+            assertEquals(
+                    404,
+                    NodeHarness.exchange(client, "GET /nothing HTTP/1.1\r\n\r\n")
+                            .status());
+            CountDownLatch release = harness.blockEventLoop();
+            NodeHarness.write(client, pipelinedOrders(2_000));
+            departure.leave(client);
+            Thread.sleep(ATTEMPT_ALLOWED_MS);
+            release.countDown();
+            awaitAttemptForbidden(harness);
+            assertOnlyNextIsServed(harness, server);
+        }
+    }
+
+    /**
+     * Guards against rejecting a request for time that it has not waited: the connection was paused behind pipelined
+     * requests before, and nothing has come since.
+     */
+    @Test
+    void requestOnAConnectionThatWasPausedBeforeHasAllOfItsTime() throws Exception {
+        int count = 20;
+        try (FakeServer server = FakeServer.respondingWith("x");
+                NodeHarness harness = NodeHarness.withSilentDiscovery().start(server)) {
+            Socket client = harness.connect();
+            NodeHarness.write(client, pipelinedOrders(count));
+            for (int i = 0; i < count; i++) {
+                assertEquals(200, Http.readMessage(client.getInputStream()).status());
+            }
+            Thread.sleep(500);
+            Http.Message next = NodeHarness.exchange(client, Http.pageRequest("/api/p", "next", "300m"));
+            assertEquals(200, next.status());
+        }
+    }
+
     /** Guards against a client that is held up for good: what was read ahead of its turn must be served in order. */
     @Test
     void requestsThatWereReadAheadAreServedInOrder() throws Exception {
