Begin an attempt only once its client is known to be there

Callers saw requests sent on up to 1.2 s after they had left. Cause: not knowing counted as 'still there'. An attempt asked whether the channel is open; where the end of the client's stream lay behind input that was not read, the answer was yes. (A) Where the account for reading ahead was used up, the attempt began at once. (C) Where the input had been behind for under 50 ms nothing was asked, although what is unread may be older: after a stall, or with a crowd that keeps the loop busy. An attempt whose client was not there 50 ms ago waits (ReadAheadHandler.whenConfirmed) until a poll of the socket finds nothing more (SocketProbe), or the end; its deadline ends it as never sent. What has to be read for that and cannot be held is dropped: the pipelined requests behind it are counted (RejectedRequests, bounded by the number of classes) and get 503 in their turn. A connection to a server that comes up late is asked for the same (postponeStart), and so is the latest time to start, which was not checked where an idle connection is used. Also mended: after a pause the input counted as behind until something more was read, so that the next request was taken for as old as the pause and answered 503. The probe after a pause ends that. Why it works: no number of bytes, connections or turns decides whether an attempt may begin, only a poll that found the socket empty.

--- a/node/src/main/java/loadbalancer/client/ClientConnection.java
+++ b/node/src/main/java/loadbalancer/client/ClientConnection.java
@@ -34,7 +34,7 @@
     private final SocketChannel channel;
     private final StrictServerCodec codec;
     private final ConnectionState state = new ConnectionState();
-    private final PipelinedMessages pipelined = new PipelinedMessages();
+    private final PipelinedMessages pipelined;
     private final ReadAheadHandler readAhead;
     private final TurnQuota turnQuota;
     private final RequestAssembler assembler;
@@ -46,8 +46,12 @@
     ClientConnection(SocketChannel channel, ClientConnectionOwner owner) {
         this.channel = channel;
         this.owner = owner;
+        pipelined = new PipelinedMessages(request -> owner.reader().classIndexOf(request));
         readAhead = new ReadAheadHandler(
-                owner.readAheadBudget(), this::isReadAheadUseful, new EarliestArrival(owner.lagMeter()));
+                owner.readAheadBudget(),
+                new Input(),
+                owner.lagMeter()::turnNumber,
+                new EarliestArrival(owner.lagMeter()));
         codec = new StrictServerCodec(readAhead::isPaused);
         turnQuota = new TurnQuota(owner.lagMeter());
         assembler = new RequestAssembler(channel, readAhead, state, pipelined, owner, new AssemblerListener());
@@ -74,9 +78,29 @@
         channel.pipeline().addLast(readAhead, codec, this);
     }
 
-    /** Returns whether to read ahead: not while the client is to be slowed down to the pace of a server. */
-    private boolean isReadAheadUseful() {
-        return !assembler.isBodyBeingSent();
+    /** Takes the input that is read ahead. */
+    private final class Input implements InputListener {
+        @Override
+        public boolean isReadAheadUseful() {
+            return !assembler.isBodyBeingSent();
+        }
+
+        @Override
+        public boolean isBodyWaiting() {
+            return assembler.isReadingPaused();
+        }
+
+        @Override
+        public void onInputOverflow() {
+            owner.onInputOverflow(readAhead.heldBytes());
+            pipelined.startRejecting();
+            readAhead.resume();
+        }
+
+        @Override
+        public void onInputCaughtUp() {
+            pipelined.stopRejecting();
+        }
     }
 
     /** Returns whether the connection is idle and not even a part of a request has arrived. */
@@ -262,7 +286,11 @@
     }
 
     private void servePipelined() {
-        while (!pipelined.isEmpty() && !state.isRequestReceived()) {
+        if (pipelined.isNextRejected() && !state.isServing()) {
+            // One in a turn of the event loop: its response is mostly written at once, and the next one is due then.
+            reject(pipelined.pollRejected());
+        }
+        while (!pipelined.isEmpty() && !pipelined.isNextRejected() && !state.isRequestReceived()) {
             PipelinedMessages.Part next = pipelined.poll();
             try {
                 assembler.read(next.message(), next.arrivedAtNanos());
@@ -276,6 +304,11 @@
         assembler.flush();
     }
 
+    private void reject(RejectedRequests.Rejection rejection) {
+        owner.onRequestRejected(rejection.classIndex());
+        assembler.reject(rejection);
+    }
+
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
         writer.onWritabilityChanged();
--- a/node/src/main/java/loadbalancer/client/ClientConnectionOwner.java
+++ b/node/src/main/java/loadbalancer/client/ClientConnectionOwner.java
@@ -29,6 +29,16 @@
     /** A request is ready to be served. The owner is responsible for exactly one response to it. */
     void onRequest(ClientConnection client, ClientRequest request);
 
+    /**
+     * More input of a connection has to be read than may be held, so that it is dropped and its requests are rejected.
+     *
+     * @param heldBytes the bytes that the connection holds
+     */
+    void onInputOverflow(long heldBytes);
+
+    /** A pipelined request that was dropped is rejected; its class is {@link RejectedRequests#NO_CLASS} if invalid. */
+    void onRequestRejected(int classIndex);
+
     /** Called when the connection has closed. */
     void onClosed(ClientConnection client);
 }
--- a/node/src/main/java/loadbalancer/client/ClientPresence.java
+++ b/node/src/main/java/loadbalancer/client/ClientPresence.java
@@ -72,11 +72,20 @@
     }
 
     /**
-     * Runs an action that must not be taken if the client has left, once all that tells whether it has is read. The
-     * close listener is notified before that if the channel is inactive.
+     * Returns whether the client was there a moment ago, or is known to have left, so that an attempt may be decided
+     * now. Otherwise its input has to be read first.
      */
-    public void whenInputIsRead(Runnable action) {
-        readAhead.afterReadAhead(() -> {
+    public boolean isConfirmed() {
+        return readAhead.isConfirmed();
+    }
+
+    /**
+     * Runs an action that must not be taken if the client has left, once {@link #isConfirmed}. The close listener is
+     * notified before that if the channel is inactive. If more has to be read for that than can be held, pipelined
+     * requests are dropped and rejected in their turn.
+     */
+    public void whenConfirmed(Runnable action) {
+        readAhead.whenConfirmed(() -> {
             notifyIfClosed();
             action.run();
         });
--- a/node/src/main/java/loadbalancer/client/ClientServer.java
+++ b/node/src/main/java/loadbalancer/client/ClientServer.java
@@ -36,6 +36,9 @@
          * {@link ClientConnection#endResponse} or {@link ClientConnection#abortResponse}.
          */
         void onRequest(ClientConnection client, ClientRequest request);
+
+        /** A request of this class, by its index in the registry, was rejected without being passed on. */
+        void onRequestRejected(int classIndex);
     }
 
     private final MeasuredEventLoop loop;
@@ -47,6 +50,8 @@
 
     private final ReadAheadBudget readAheadBudget = ReadAheadBudget.ofHeap();
 
+    private final InputOverflowLog overflows = new InputOverflowLog();
+
     private Channel listeningChannel;
     /** Whether the listening socket is inherited, so that another process of this node may accept on it too. */
     private boolean socketShared;
@@ -247,6 +252,18 @@
         handler.onRequest(client, request);
     }
 
+    @Override
+    public void onInputOverflow(long heldBytes) {
+        overflows.record(heldBytes, readAheadBudget.heldBytes());
+    }
+
+    @Override
+    public void onRequestRejected(int classIndex) {
+        if (classIndex != RejectedRequests.NO_CLASS) {
+            handler.onRequestRejected(classIndex);
+        }
+    }
+
     @Override
     public void onClosed(ClientConnection client) {
         clients.remove(client);
--- a/node/src/main/java/loadbalancer/client/ReadAheadHandler.java
+++ b/node/src/main/java/loadbalancer/client/ReadAheadHandler.java
@@ -7,7 +7,6 @@
 import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import loadbalancer.transfer.TransferLimits;
 
@@ -16,29 +15,31 @@
  * it, and notices that the client has left while the input is paused.
  *
  * <p>The end of a client's stream is noticed only by reading up to it. If the input stays behind the client for longer
- * than {@link #READ_AHEAD_DELAY_MS}, this handler therefore reads on and holds what it reads, without decoding it, as
- * far as the {@link ReadAheadBudget} allows. Once the handlers behind it have taken all of that, they read from the
- * socket again. For a shorter time the input waits in the socket, so that a client is slowed down to the pace of the
- * server that reads its request.
+ * than {@link #MAX_UNCONFIRMED_NANOS}, this handler therefore reads on and holds what it reads undecoded, as far as the
+ * {@link ReadAheadBudget} allows. For a shorter time the input waits in the socket, so that a client is slowed down to
+ * the pace of the server that reads its request.
  *
- * <p>Also tells when the input that is being decoded may have arrived, see {@link ArrivalEstimator}. All methods are
- * called on the event loop. This handler owns the bytes that it holds.
+ * <p>An action that must not be taken if the client has left waits until it is known that the client is there, see
+ * {@link #whenConfirmed}. If what must be read for that cannot be held, the {@link InputListener} takes the input
+ * without keeping it.
+ *
+ * <p>Also tells when the input that is being decoded may have arrived. All methods are called on the event loop.
  */
-final class ReadAheadHandler extends ChannelInboundHandlerAdapter {
-    /** Rarely does a request wait longer for a server. An attempt may begin up to 100 ms after its client has left. */
-    private static final long READ_AHEAD_DELAY_MS = 50;
-
-    /** Bytes that have been read ahead. */
-    private record Segment(ByteBuf bytes, int accountedBytes, long arrivedAtNanos) {}
-
-    private final ReadAheadBudget budget;
-    /** Returns whether input may be read ahead now. */
-    private final BooleanSupplier readAheadUseful;
+final class ReadAheadHandler extends ChannelInboundHandlerAdapter implements SocketProbe.Listener {
+    /**
+     * For how long it may be unknown whether the client has left before an action waits for it. An attempt may begin
+     * up to 100 ms after its client has left, and rarely does a request wait for a server for longer than this.
+     */
+    private static final long MAX_UNCONFIRMED_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
+    private final InputListener listener;
     private final LongSupplier earliestArrivalNanos;
     private final ArrivalEstimator estimator = new ArrivalEstimator(TransferLimits.SOCKET_RECEIVE_BUFFER_BYTES);
     private final EndOfStreamWatch endOfStream = new EndOfStreamWatch();
-    private final ArrayDeque<Segment> held = new ArrayDeque<>();
+    private final SocketProbe probe;
+    private final HeldInput held;
+    /** Actions that wait until it is known whether the client has left, in order. */
+    private final ArrayDeque<Runnable> unconfirmedActions = new ArrayDeque<>();
 
     private ChannelHandlerContext context;
     private boolean paused;
@@ -46,31 +47,26 @@
     private boolean yielding;
     /** Whether unread input may wait in the socket. */
     private boolean behind;
-    /** Whether the input has been behind for {@link #READ_AHEAD_DELAY_MS}. */
+    /** Whether the input has been behind for so long that it is read ahead. */
     private boolean readingAhead;
 
     /** Starts to read ahead, or tries again if the budget was used up; null if not scheduled. */
     private Future<?> timer;
 
     private boolean releaseScheduled;
-    /** The number of reads from the socket, and their number before those of this turn of the event loop. */
-    private long reads;
-
     private long readsBeforeTurn;
-
-    private long heldBytes;
-    /** The arrival of the input that is being decoded. */
     private long arrivedAtNanos;
 
     /**
-     * @param readAheadUseful returns whether to read ahead of a paused input: not if its request is being sent, as the
-     *     client must be slowed down then
+     * @param turn the number of the current turn of the event loop
      * @param earliestArrivalNanos the earliest time at which bytes that are read now may have arrived if the input is
      *     not behind
      */
-    ReadAheadHandler(ReadAheadBudget budget, BooleanSupplier readAheadUseful, LongSupplier earliestArrivalNanos) {
-        this.budget = budget;
-        this.readAheadUseful = readAheadUseful;
+    ReadAheadHandler(
+            ReadAheadBudget budget, InputListener listener, LongSupplier turn, LongSupplier earliestArrivalNanos) {
+        held = new HeldInput(budget);
+        probe = new SocketProbe(this, turn);
+        this.listener = listener;
         this.earliestArrivalNanos = earliestArrivalNanos;
     }
 
@@ -89,40 +85,127 @@
         return paused || yielding;
     }
 
+    private boolean mustHold() {
+        return isPaused() || !isEmpty();
+    }
+
     /** Returns the earliest time at which the input that is being decoded may have arrived. */
     long arrivedAtNanos() {
         return arrivedAtNanos;
     }
 
-    /** Returns the earliest time at which the input that has not been passed on yet may have arrived. */
+    /** The same for the input that has not been passed on yet. */
     long unreadSinceNanos() {
         if (!held.isEmpty()) {
-            return held.peek().arrivedAtNanos;
+            return held.firstArrivedAtNanos();
         }
         return behind ? estimator.earliestUnreadNanos() : System.nanoTime();
     }
 
+    /** Returns the number of bytes that are held. */
+    long heldBytes() {
+        return held.bytes();
+    }
+
+    // ---------------------------------------------------------------- whether the client is there
+
     /** Returns for how long it has been unknown whether the client has ended its stream; 0 if it has not. */
     long unconfirmedNanos() {
         return endOfStream.unconfirmedNanos(System.nanoTime());
     }
 
-    /** Returns the number of bytes that are held. */
-    long heldBytes() {
-        return heldBytes;
+    /**
+     * Returns whether the client was there a moment ago, or is known to have left: whether an action that depends on it
+     * may be decided now. A body that is too large to be held, or is being sent to a server at its pace, can only be
+     * read on: the client counts as there, and the end of the body is held back until it is confirmed.
+     */
+    boolean isConfirmed() {
+        return !context.channel().isActive()
+                || unconfirmedNanos() <= MAX_UNCONFIRMED_NANOS
+                || !listener.isReadAheadUseful()
+                || listener.isBodyWaiting() && !held.hasRoom();
+    }
+
+    /**
+     * Runs an action once {@link #isConfirmed}, which may be now. For that, input is read until a poll of the socket
+     * finds nothing more.
+     */
+    void whenConfirmed(Runnable action) {
+        if (isConfirmed()) {
+            action.run();
+        } else {
+            unconfirmedActions.add(action);
+            probe();
+        }
+    }
+
+    private void runUnconfirmedActions() {
+        for (int count = unconfirmedActions.size(); count > 0; count--) {
+            whenConfirmed(unconfirmedActions.poll());
+        }
+    }
+
+    private void probe() {
+        if (probe.isRunning() || !context.channel().isActive()) {
+            return;
+        }
+        if (mustHold() && !held.hasRoom()) {
+            onNoRoom();
+        } else {
+            probe.start(context);
+        }
+    }
+
+    @Override
+    public void onSocketNotEmpty() {
+        if (behind && isProbeUseful()) {
+            probe();
+        }
+        runUnconfirmedActions();
+    }
+
+    /** Whether more is to be read: for an action that waits, to read ahead, or to see when reading has caught up. */
+    private boolean isProbeUseful() {
+        return !unconfirmedActions.isEmpty() || !mustHold() || readingAhead && listener.isReadAheadUseful();
+    }
+
+    /** No more may be held. Nothing is to do while the held input is being released, which reads on after that. */
+    private void onNoRoom() {
+        if (unconfirmedActions.isEmpty()) {
+            scheduleReadAhead();
+        } else if (isConfirmed()) {
+            runUnconfirmedActions();
+        } else if (paused) {
+            listener.onInputOverflow();
+        }
+    }
+
+    @Override
+    public void onSocketEmpty() {
+        onInputCaughtUp();
+        runUnconfirmedActions();
+    }
+
+    private void onInputCaughtUp() {
+        endOfStream.onSocketEmpty();
+        if (mustHold()) {
+            estimator.onEmpty(System.nanoTime());
+        } else {
+            behind = false;
+            readingAhead = false;
+            cancelTimer();
+            listener.onInputCaughtUp();
+        }
     }
 
     // ---------------------------------------------------------------- flow control
 
-    /** Stops the input of the handlers behind this one. The decoder keeps what it has not decoded. */
+    /** Stops the input of the handlers behind this one, and reads ahead if that has become useful. */
     void pause() {
-        if (paused) {
-            // Reading ahead may be useful again.
-            readAhead();
-            return;
+        if (!paused) {
+            paused = true;
+            stopReadingFromSocket();
         }
-        paused = true;
-        stopReadingFromSocket();
         readAhead();
     }
 
@@ -158,96 +241,48 @@
 
     /** Drops the held input and resumes. */
     void discardAndResume() {
-        discard();
+        held.discard();
         resume();
     }
 
-    private void readFromSocket() {
-        context.channel().config().setAutoRead(true);
-    }
-
     // ---------------------------------------------------------------- reading
 
     @Override
     public void channelRead(ChannelHandlerContext reading, Object message) {
         ByteBuf bytes = (ByteBuf) message;
-        reads++;
+        probe.onRead();
         long nowNanos = earliestArrivalNanos.getAsLong();
         endOfStream.onRead(nowNanos);
         long arrival = behind ? Math.min(nowNanos, estimator.onRead(bytes.readableBytes(), nowNanos)) : nowNanos;
-        // A read that has not filled its buffer has emptied the socket.
-        boolean socketEmptied = bytes.isWritable();
+        // A read that has not filled its buffer has emptied the socket, but the end may follow right behind.
+        boolean emptied = bytes.isWritable();
         if (mustHold()) {
-            hold(bytes, arrival);
+            held.add(bytes, arrival);
         } else {
             arrivedAtNanos = arrival;
             reading.fireChannelRead(bytes);
         }
-        if (socketEmptied) {
-            onSocketEmptied();
-        }
-    }
-
-    private boolean mustHold() {
-        return isPaused() || !isEmpty();
-    }
-
-    private void onSocketEmptied() {
-        if (mustHold()) {
+        if (emptied && mustHold()) {
             estimator.onEmpty(System.nanoTime());
-        } else {
-            behind = false;
-            readingAhead = false;
-            cancelTimer();
         }
     }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext reading) {
-        boolean socketEmptied = reads - readsBeforeTurn < TransferLimits.MAX_READS_PER_TURN
+        // The last read of the turn has found nothing. If it has found the end, the channel closes right away.
+        boolean emptied = probe.reads() - readsBeforeTurn < TransferLimits.MAX_READS_PER_TURN
                 && context.channel().config().isAutoRead();
-        readsBeforeTurn = reads;
-        if (socketEmptied) {
-            endOfStream.onSocketEmpty();
-        }
-        if (socketEmptied && !mustHold()) {
-            // Also where the last read has just filled its buffer.
-            onSocketEmptied();
+        readsBeforeTurn = probe.reads();
+        if (emptied) {
+            onInputCaughtUp();
         }
         reading.fireChannelReadComplete();
         readAhead();
     }
 
-    /**
-     * Runs an action that must not be taken if the client has left. If the input has been behind for long, the end of
-     * the stream may lie in it: the action then runs once a turn of the event loop has found nothing more to read, or
-     * no more may be held.
-     */
-    void afterReadAhead(Runnable action) {
-        boolean mayHideEnd = readingAhead && mustHold() && context.channel().isActive();
-        if (!mayHideEnd || !budget.allows(heldBytes, TransferLimits.MAX_READ_BYTES)) {
-            action.run();
-            return;
-        }
-        long readsBefore = reads;
-        context.read();
-        context.executor()
-                .schedule(
-                        () -> {
-                            if (reads == readsBefore) {
-                                endOfStream.onSocketEmpty();
-                                action.run();
-                            } else {
-                                afterReadAhead(action);
-                            }
-                        },
-                        0,
-                        TimeUnit.NANOSECONDS);
-    }
-
     private void scheduleReadAhead() {
         cancelTimer();
-        timer = context.executor().schedule(this::onTimer, READ_AHEAD_DELAY_MS, TimeUnit.MILLISECONDS);
+        timer = context.executor().schedule(this::onTimer, MAX_UNCONFIRMED_NANOS, TimeUnit.NANOSECONDS);
     }
 
     private void onTimer() {
@@ -258,16 +293,8 @@
 
     /** Reads on from the socket although the input is paused or held. */
     private void readAhead() {
-        if (!readingAhead || !mustHold() || !context.channel().isActive()) {
-            return;
-        }
-        if (!readAheadUseful.getAsBoolean()) {
-            return;
-        }
-        if (budget.allows(heldBytes, TransferLimits.MAX_READ_BYTES)) {
-            context.read();
-        } else if (timer == null) {
-            scheduleReadAhead();
+        if (readingAhead && mustHold() && listener.isReadAheadUseful()) {
+            probe();
         }
     }
 
@@ -278,19 +305,6 @@
         }
     }
 
-    // ---------------------------------------------------------------- held input
-
-    private void hold(ByteBuf bytes, long arrival) {
-        ByteBuf compact = bytes;
-        if (bytes.readableBytes() < bytes.capacity() / 2) {
-            compact = TransferLimits.ALLOCATOR.buffer(bytes.readableBytes()).writeBytes(bytes);
-            bytes.release();
-        }
-        budget.acquire(compact.capacity());
-        heldBytes += compact.capacity();
-        held.add(new Segment(compact, compact.capacity(), arrival));
-    }
-
     /** Releases in the next turn of the event loop, so that one connection does not keep others from being read. */
     private void scheduleRelease() {
         if (!releaseScheduled) {
@@ -307,38 +321,29 @@
             context.fireChannelRead(Unpooled.EMPTY_BUFFER);
         }
         for (int i = 0; i < TransferLimits.MAX_READS_PER_TURN && !isPaused() && !held.isEmpty(); i++) {
-            Segment next = removeFirst();
-            arrivedAtNanos = next.arrivedAtNanos;
-            context.fireChannelRead(next.bytes);
+            HeldInput.Segment next = held.poll();
+            arrivedAtNanos = next.arrivedAtNanos();
+            context.fireChannelRead(next.bytes());
         }
         context.fireChannelReadComplete();
         if (isPaused()) {
             return;
         }
-        if (held.isEmpty()) {
-            readFromSocket();
-        } else {
+        if (!held.isEmpty()) {
             scheduleRelease();
+            return;
         }
-    }
-
-    private Segment removeFirst() {
-        Segment first = held.poll();
-        budget.release(first.accountedBytes);
-        heldBytes -= first.accountedBytes;
-        return first;
-    }
-
-    private void discard() {
-        while (!held.isEmpty()) {
-            removeFirst().bytes.release();
+        context.channel().config().setAutoRead(true);
+        if (behind) {
+            probe();
         }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext closed) {
         cancelTimer();
-        discard();
+        held.discard();
         closed.fireChannelInactive();
+        runUnconfirmedActions();
     }
 }
--- a/node/src/main/java/loadbalancer/client/RequestAssembler.java
+++ b/node/src/main/java/loadbalancer/client/RequestAssembler.java
@@ -142,6 +142,18 @@
         }
     }
 
+    /** Rejects a request that has been dropped; what has not been read of it is read and dropped. */
+    void reject(RejectedRequests.Rejection rejection) {
+        droppedBody = null;
+        head = null;
+        receivedBytes = 0;
+        state.requestStarted(rejection.keepAlive());
+        if (rejection.received()) {
+            state.requestReceived();
+        }
+        listener.onLocalResponse(HttpResponseStatus.SERVICE_UNAVAILABLE, HttpBodies.EMPTY);
+    }
+
     private void readHead(HttpRequest request) {
         droppedBody = null;
         state.requestStarted(HttpUtil.isKeepAlive(request));
@@ -319,9 +331,10 @@
 
     /** Returns whether the body of the request is being sent to a server as it arrives. */
     boolean isBodyBeingSent() {
-        return streamedBody != null && streamedBody.hasSink();
+        return streamedBody != null && streamedBody.hasSink() && state.isReceiving();
     }
 
+    /** Returns whether reading is paused because the body of the request waits for a server. */
     boolean isReadingPaused() {
         return readingPaused;
     }
--- a/node/src/main/java/loadbalancer/client/RequestReader.java
+++ b/node/src/main/java/loadbalancer/client/RequestReader.java
@@ -89,6 +89,15 @@
                 message.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0);
     }
 
+    /** Returns the index of the class of a request, or {@link RejectedRequests#NO_CLASS} if its head is not valid. */
+    int classIndexOf(HttpRequest message) {
+        try {
+            return isRequestPath(path(target(message.uri()))) ? read(message).classIndex() : RejectedRequests.NO_CLASS;
+        } catch (BadRequestException e) {
+            return RejectedRequests.NO_CLASS;
+        }
+    }
+
     /** Returns the last segment of the path, or null if it is empty. */
     private static String affinityKey(String path) {
         String lastSegment = path.substring(path.lastIndexOf('/') + 1);
--- /dev/null
+++ b/node/src/main/java/loadbalancer/client/SocketProbe.java
@@ -0,0 +1,81 @@
+package loadbalancer.client;
+
+import io.netty.channel.ChannelHandlerContext;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * Finds out whether the socket of a channel is empty: reads once, and looks after the next poll whether that was all.
+ * Used on the event loop only.
+ */
+final class SocketProbe {
+    /** Receives the results of probes. Nothing is reported of a channel that has closed meanwhile. */
+    interface Listener {
+        /** Nothing has been read since the probe began. The socket is still polled. */
+        void onSocketEmpty();
+
+        /** Something has been read; there may be more. */
+        void onSocketNotEmpty();
+    }
+
+    private final Listener listener;
+    private final LongSupplier turnNumber;
+    private boolean running;
+    private long reads;
+
+    /** @param turnNumber the number of the current turn of the event loop; each turn begins with a poll */
+    SocketProbe(Listener listener, LongSupplier turnNumber) {
+        this.listener = listener;
+        this.turnNumber = turnNumber;
+    }
+
+    /** Records a read from the socket. */
+    void onRead() {
+        reads++;
+    }
+
+    /** Returns the number of reads from the socket. */
+    long reads() {
+        return reads;
+    }
+
+    boolean isRunning() {
+        return running;
+    }
+
+    /** Begins a probe, unless one is running. */
+    void start(ChannelHandlerContext context) {
+        if (!running) {
+            running = true;
+            context.read();
+            endAfterPoll(context, reads, turnNumber.getAsLong());
+        }
+    }
+
+    private void endAfterPoll(ChannelHandlerContext context, long readsBefore, long startedInTurn) {
+        context.executor()
+                .schedule(
+                        () -> {
+                            // A probe that began while the turn handled I/O events runs its tasks before the next poll.
+                            if (turnNumber.getAsLong() == startedInTurn) {
+                                endAfterPoll(context, readsBefore, startedInTurn);
+                            } else {
+                                end(context, readsBefore);
+                            }
+                        },
+                        0,
+                        TimeUnit.NANOSECONDS);
+    }
+
+    private void end(ChannelHandlerContext context, long readsBefore) {
+        running = false;
+        if (!context.channel().isActive()) {
+            return;
+        }
+        if (reads == readsBefore) {
+            listener.onSocketEmpty();
+        } else {
+            listener.onSocketNotEmpty();
+        }
+    }
+}
--- a/node/src/main/java/loadbalancer/request/HealthCheck.java
+++ b/node/src/main/java/loadbalancer/request/HealthCheck.java
@@ -50,6 +50,11 @@
         return true;
     }
 
+    @Override
+    public boolean postponeStart() {
+        return false;
+    }
+
     @Override
     public FullHttpRequest createMessage() {
         return UpstreamMessageFactory.healthCheck();
--- a/node/src/main/java/loadbalancer/request/ProxiedRequest.java
+++ b/node/src/main/java/loadbalancer/request/ProxiedRequest.java
@@ -180,10 +180,7 @@
 
     @Override
     public void onBalancerFailure() {
-        if (!isEnded()) {
-            respond(HttpResponseStatus.INTERNAL_SERVER_ERROR, HttpBodies.EMPTY, 0);
-            withdrawFromBalancer();
-        }
+        respondAndWithdraw(HttpResponseStatus.INTERNAL_SERVER_ERROR);
     }
 
     // ---------------------------------------------------------------- attempts
@@ -202,7 +199,7 @@
         // Started by a timer, after the I/O events of this turn and the timers that are already due. After a stall of
         // the loop these may be a disconnect of the client, a drain of the server or a timeout, each of which must stop
         // the attempt from being sent.
-        services.loop().schedule(() -> client.presence().whenInputIsRead(attempt::start), 0, TimeUnit.NANOSECONDS);
+        services.loop().schedule(attempt::startWhenClientConfirmed, 0, TimeUnit.NANOSECONDS);
     }
 
     void cancelAttempt(int number) {
@@ -228,8 +225,7 @@
             return false;
         }
         if (!listener.mayStreamResponse(this)) {
-            respond(HttpResponseStatus.BAD_GATEWAY, HttpBodies.EMPTY, 0);
-            withdrawFromBalancer();
+            respondAndWithdraw(HttpResponseStatus.BAD_GATEWAY);
             return false;
         }
         streamingAttempt = attempt;
@@ -303,16 +299,16 @@
             return;
         }
         boolean neverSent = attempts.isEmpty();
-        respond(
-                neverSent ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.BAD_GATEWAY,
-                HttpBodies.EMPTY,
-                0);
-        withdrawFromBalancer();
+        respondAndWithdraw(neverSent ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.BAD_GATEWAY);
     }
 
-    private void withdrawFromBalancer() {
-        services.events()
-                .submit(balancer -> balancer.onClientGone(services.clock().nowUs(), id));
+    /** Sends a final response that the balancer has not asked for, unless the request has ended. */
+    private void respondAndWithdraw(HttpResponseStatus status) {
+        if (!isEnded()) {
+            respond(status, HttpBodies.EMPTY, 0);
+            services.events()
+                    .submit(balancer -> balancer.onClientGone(services.clock().nowUs(), id));
+        }
     }
 
     private void end() {
--- a/node/src/main/java/loadbalancer/request/RequestTable.java
+++ b/node/src/main/java/loadbalancer/request/RequestTable.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
+import loadbalancer.admin.RequestOutcome;
 import loadbalancer.client.ClientConnection;
 import loadbalancer.client.ClientRequest;
 import loadbalancer.client.ClientServer;
@@ -89,6 +90,12 @@
         submitToBalancer(request, Math.min(shutdownDeadlineUs, request.arrivedAtUs() + head.remainingUs()));
     }
 
+    @Override
+    public void onRequestRejected(int classIndex) {
+        String className = registry.get().classes().get(classIndex).name();
+        services.metrics().onRequestFinished(className, RequestOutcome.REJECTED);
+    }
+
     /** Submits a new request to the balancer, with its remaining time counted from its arrival. */
     private void submitToBalancer(ProxiedRequest request, long clientDeadlineUs) {
         ClientRequest.Head head = request.clientRequest().head();
--- a/node/src/main/java/loadbalancer/request/UpstreamAttempt.java
+++ b/node/src/main/java/loadbalancer/request/UpstreamAttempt.java
@@ -5,8 +5,6 @@
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import loadbalancer.client.ClientConnection;
-import loadbalancer.client.ClientPresence;
-import loadbalancer.common.Log;
 import loadbalancer.http.HttpBodies;
 import loadbalancer.policy.AttemptOutcome;
 import loadbalancer.policy.AttemptResult;
@@ -36,7 +34,6 @@
  */
 final class UpstreamAttempt implements UpstreamExchange {
     private static final long NOT_STARTED = 0;
-    private static final long MICROS_PER_MILLI = 1_000;
 
     private final ProxiedRequest request;
     private final int number;
@@ -55,6 +52,9 @@
     /** The state of what is streamed; null if nothing is. */
     private AttemptStream stream;
 
+    /** Whether it has not started because it is not known whether its client has left. */
+    private boolean awaitsClient;
+
     private Future<?> timeout;
     private LoadReport loadReport;
     private boolean ended;
@@ -101,14 +101,32 @@
     // ---------------------------------------------------------------- the request
 
     /**
-     * Starts the attempt in the pool, unless it has ended. Ends it as {@link AttemptResult#MOOT} if its deadline had
-     * passed when it was created or the request no longer allows an attempt.
+     * Starts the attempt once its client is known to be there. If that does not become known in time, the attempt ends
+     * as {@link AttemptResult#MOOT}.
      */
-    void start() {
+    void startWhenClientConfirmed() {
         if (ended) {
             return;
         }
-        if (endUs() <= createdAtUs || !request.allowsAttempt(number)) {
+        if (!request.clientPresence().isConfirmed()) {
+            awaitsClient = true;
+            cancelTimeout();
+            scheduleAt(endUs());
+        }
+        request.clientPresence().whenConfirmed(this::start);
+    }
+
+    /**
+     * Starts the attempt in the pool, unless it has ended. Ends it as {@link AttemptResult#MOOT} if it is too late for
+     * it or the request no longer allows an attempt.
+     */
+    private void start() {
+        if (ended) {
+            return;
+        }
+        awaitsClient = false;
+        cancelTimeout();
+        if (endUs() <= services.clock().nowUs() || !mayStart() || !request.allowsAttempt(number)) {
             onEnded(AttemptResult.MOOT, HttpBodies.EMPTY);
             return;
         }
@@ -165,37 +183,27 @@
         return services.clock().nowUs() <= startByUs && !request.isClientGone();
     }
 
+    @Override
+    public boolean postponeStart() {
+        if (request.clientPresence().isConfirmed()) {
+            return false;
+        }
+        startWhenClientConfirmed();
+        return true;
+    }
+
     @Override
     public FullHttpRequest createMessage() {
         request.onAttemptWriting(this);
-        recordUnconfirmedClient();
+        // Otherwise the end of the body is held back until the client is confirmed.
+        if (request.isReceived() && request.clientPresence().isUnconfirmed()) {
+            services.metrics().onUnconfirmedAttempt();
+            AttemptLog.logUnconfirmedClient(request, serverId, number);
+        }
         long remainingUs = endUs() - services.clock().nowUs();
         return UpstreamMessageFactory.attempt(request.clientRequest(), request.className(), remainingUs);
     }
 
-    /** Logs and counts an attempt that begins although it is not known whether its client has left long before. */
-    private void recordUnconfirmedClient() {
-        ClientPresence client = request.clientPresence();
-        if (!client.isUnconfirmed()) {
-            return;
-        }
-        services.metrics().onUnconfirmedAttempt();
-        Log.warn(
-                "attempt_unconfirmed",
-                "txn",
-                request.clientRequest().head().requestId(),
-                "server",
-                serverId,
-                "attempt",
-                number,
-                "unconfirmed_ms",
-                client.unconfirmedMillis(),
-                "held_bytes",
-                client.heldBytes(),
-                "held_by_all_bytes",
-                client.heldByAllBytes());
-    }
-
     @Override
     public RequestBody streamedBody() {
         return request.clientRequest().streamedBody();
@@ -287,27 +295,19 @@
      * server has not run it.
      */
     void expire() {
+        if (awaitsClient) {
+            onEnded(AttemptResult.MOOT, HttpBodies.EMPTY);
+            return;
+        }
         if (isResponseStarted()) {
-            logResponseCut();
+            AttemptLog.logResponseCut(
+                    request, serverId, stream.responseBytes(), services.clock().nowUs() - responseStartedAtUs);
         }
         boolean requestWritten = services.pool().abort(serverId, this);
         boolean mayHaveRun = requestWritten || isResponseStarted();
         onEnded(mayHaveRun ? AttemptResult.TIMEOUT : AttemptResult.CONNECT_FAILED, HttpBodies.EMPTY);
     }
 
-    private void logResponseCut() {
-        Log.warn(
-                "response_cut",
-                "txn",
-                request.clientRequest().head().requestId(),
-                "server",
-                serverId,
-                "bytes",
-                stream.responseBytes(),
-                "streamed_ms",
-                (services.clock().nowUs() - responseStartedAtUs) / MICROS_PER_MILLI);
-    }
-
     /** Cancels the attempt, unless it has ended. */
     void cancel() {
         if (!ended) {
--- a/node/src/main/java/loadbalancer/upstream/UpstreamExchange.java
+++ b/node/src/main/java/loadbalancer/upstream/UpstreamExchange.java
@@ -16,6 +16,12 @@
     /** Returns whether the exchange may still start. Called if it had to wait, when a connection is available. */
     boolean mayStart();
 
+    /**
+     * Returns whether the exchange cannot start yet, although a connection is available. It is then no longer held, and
+     * starts anew in the pool by itself.
+     */
+    boolean postponeStart();
+
     /** Creates the message. Called once, when a connection is available. The caller releases the message. */
     FullHttpRequest createMessage();
 
--- a/node/src/main/java/loadbalancer/upstream/UpstreamServer.java
+++ b/node/src/main/java/loadbalancer/upstream/UpstreamServer.java
@@ -164,15 +164,25 @@
     @Override
     public void onIdle(ServerConnection connection) {
         idle.push(connection);
-        UpstreamExchange next;
-        while ((next = waiting.poll()) != null && !next.mayStart()) {
-            next.onEnded(AttemptResult.CONNECT_FAILED, HttpBodies.EMPTY);
-        }
+        UpstreamExchange next = pollStartable();
         if (next != null) {
             connection.start(next);
         }
     }
 
+    /** Removes the first queued exchange that may start now, and all before it; returns null if there is none. */
+    private UpstreamExchange pollStartable() {
+        UpstreamExchange next;
+        while ((next = waiting.poll()) != null) {
+            if (!next.mayStart()) {
+                next.onEnded(AttemptResult.CONNECT_FAILED, HttpBodies.EMPTY);
+            } else if (!next.postponeStart()) {
+                return next;
+            }
+        }
+        return null;
+    }
+
     @Override
     public void onUnusable() {
         // The connection may have been opened for a waiting exchange, to an address that has changed since.
--- a/node/src/test/java/loadbalancer/client/ReadAheadHandlerTest.java
+++ b/node/src/test/java/loadbalancer/client/ReadAheadHandlerTest.java
@@ -9,6 +9,9 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.io.ByteArrayOutputStream;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import loadbalancer.transfer.TransferLimits;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -16,14 +19,50 @@
 /** The order and the account of input that is paused, read ahead, passed on and discarded. */
 class ReadAheadHandlerTest {
     private static final int STEPS = 2_000;
+    /** Longer than it may be unknown whether a client is there. */
+    private static final int UNCONFIRMED_MS = 60;
 
     private final ReadAheadBudget budget = new ReadAheadBudget(1 << 20);
-    private final ReadAheadHandler handler = new ReadAheadHandler(budget, () -> true, System::nanoTime);
+    private final AtomicLong turn = new AtomicLong();
+
+    private final RecordingListener listener = new RecordingListener();
+    private final ReadAheadHandler handler = new ReadAheadHandler(budget, listener, turn::get, System::nanoTime);
     private final EmbeddedChannel channel = new EmbeddedChannel(handler);
     private final ByteArrayOutputStream sent = new ByteArrayOutputStream();
     private final ByteArrayOutputStream passedOn = new ByteArrayOutputStream();
 
+    private static final class RecordingListener implements InputListener {
+        private boolean bodyWaiting;
+        private int overflows;
+
+        @Override
+        public boolean isReadAheadUseful() {
+            return true;
+        }
+
+        @Override
+        public boolean isBodyWaiting() {
+            return bodyWaiting;
+        }
+
+        @Override
+        public void onInputOverflow() {
+            overflows++;
+        }
+
+        @Override
+        public void onInputCaughtUp() {}
+    }
+
+    /** A turn of the event loop in which nothing is read. */
+    private void nextTurn() {
+        turn.incrementAndGet();
+        channel.runPendingTasks();
+    }
+
+    /** A turn of the event loop in which this is read. */
     private void read(byte[] bytes) {
+        turn.incrementAndGet();
         sent.writeBytes(bytes);
         // Half of the buffers are mostly empty, which the handler compacts.
         ByteBuf buffer = Unpooled.buffer(bytes.length % 2 == 0 ? bytes.length : 3 * bytes.length);
@@ -47,7 +86,7 @@
             switch (random.nextInt(4)) {
                 case 0 -> handler.pause();
                 case 1 -> handler.resume();
-                case 2 -> channel.runPendingTasks();
+                case 2 -> nextTurn();
                 default -> {
                     byte[] bytes = new byte[1 + random.nextInt(200)];
                     random.nextBytes(bytes);
@@ -57,7 +96,7 @@
             takePassedOn();
         }
         handler.resume();
-        channel.runPendingTasks();
+        nextTurn();
         takePassedOn();
         assertEquals(Unpooled.wrappedBuffer(sent.toByteArray()), Unpooled.wrappedBuffer(passedOn.toByteArray()));
         assertEquals(0, budget.heldBytes());
@@ -72,7 +111,7 @@
     void inputIsNotBehindAfterAReadThatHasFilledItsBuffer() {
         handler.pause();
         handler.resume();
-        channel.runPendingTasks();
+        nextTurn();
         read(new byte[100]);
         long nowNanos = System.nanoTime();
         assertTrue(handler.unreadSinceNanos() >= nowNanos, "unread input may have arrived before");
@@ -90,9 +129,89 @@
         } else {
             handler.discardAndResume();
         }
-        channel.runPendingTasks();
+        nextTurn();
         assertEquals(0, budget.heldBytes());
         takePassedOn();
         assertEquals(0, passedOn.size());
     }
+
+    private void pauseUntilUnconfirmed() throws InterruptedException {
+        handler.pause();
+        read(new byte[100]);
+        Thread.sleep(UNCONFIRMED_MS);
+    }
+
+    /** Reads until the budget allows no more. */
+    private void useUpBudget() {
+        while (budget.allows(handler.heldBytes(), TransferLimits.MAX_READ_BYTES)) {
+            read(new byte[TransferLimits.MAX_READ_BYTES]);
+        }
+    }
+
+    /** Guards against an attempt that begins while the end of the client's stream may lie in what is not read. */
+    @Test
+    void actionWaitsUntilTheSocketIsEmpty() throws Exception {
+        AtomicInteger runs = new AtomicInteger();
+        pauseUntilUnconfirmed();
+        handler.whenConfirmed(runs::incrementAndGet);
+        for (int i = 0; i < 10; i++) {
+            read(new byte[100]);
+            assertEquals(0, runs.get());
+        }
+        nextTurn();
+        nextTurn();
+        assertEquals(1, runs.get());
+    }
+
+    /** Guards against delaying a client that is known to be there. */
+    @Test
+    void actionRunsAtOnceForAClientThatWasThereAMomentAgo() {
+        AtomicInteger runs = new AtomicInteger();
+        handler.whenConfirmed(runs::incrementAndGet);
+        handler.pause();
+        handler.whenConfirmed(runs::incrementAndGet);
+        assertEquals(2, runs.get());
+    }
+
+    /** Guards against an attempt that is never decided: its client closes, or the action would wait for good. */
+    @Test
+    void actionRunsOnceTheConnectionHasClosed() throws Exception {
+        AtomicInteger runs = new AtomicInteger();
+        pauseUntilUnconfirmed();
+        handler.whenConfirmed(runs::incrementAndGet);
+        channel.close();
+        nextTurn();
+        assertEquals(1, runs.get());
+    }
+
+    /** Guards against not knowing whether a client is there because no more of its input may be held. */
+    @Test
+    void inputThatCannotBeHeldIsTakenOnlyIfAnActionWaits() throws Exception {
+        pauseUntilUnconfirmed();
+        useUpBudget();
+        nextTurn();
+        assertEquals(0, listener.overflows);
+        AtomicInteger runs = new AtomicInteger();
+        handler.whenConfirmed(runs::incrementAndGet);
+        assertEquals(1, listener.overflows);
+        assertEquals(0, runs.get());
+        handler.resume();
+        for (int i = 0; i < 100 && runs.get() == 0; i++) {
+            nextTurn();
+        }
+        assertEquals(1, runs.get());
+        assertEquals(0, budget.heldBytes());
+    }
+
+    /** Guards against a body that is never sent because it is larger than what may be held. */
+    @Test
+    void bodyThatCannotBeHeldNeedsNoConfirmationToBegin() throws Exception {
+        listener.bodyWaiting = true;
+        pauseUntilUnconfirmed();
+        useUpBudget();
+        AtomicInteger runs = new AtomicInteger();
+        handler.whenConfirmed(runs::incrementAndGet);
+        assertEquals(1, runs.get());
+        assertEquals(0, listener.overflows);
+    }
 }
--- a/node/src/test/java/loadbalancer/process/ClientLimitsTest.java
+++ b/node/src/test/java/loadbalancer/process/ClientLimitsTest.java
@@ -49,7 +49,7 @@
 
     @Test
     void pipelinedMessagesAreBounded() {
-        PipelinedMessages pipelined = new PipelinedMessages();
+        PipelinedMessages pipelined = new PipelinedMessages(request -> 0);
         int parts = 0;
         while (!pipelined.isFull()) {
             pipelined.add(LastHttpContent.EMPTY_LAST_CONTENT, 0);
