Send the last byte of a body only once its client is known to be there

A client that left behind a body larger than may be held had its order run: the body waited for a server, and the end of the stream was found only behind its last byte, which was sent on by then. Change: RequestBody holds back the last part (by Content-Length) or the last chunk until the client has been found there behind the end of the body.

--- a/node/src/main/java/loadbalancer/client/RequestAssembler.java
+++ b/node/src/main/java/loadbalancer/client/RequestAssembler.java
@@ -280,6 +280,15 @@
         return readAhead.unreadSinceNanos();
     }
 
+    @Override
+    public void whenClientConfirmed(Runnable action) {
+        readAhead.whenConfirmed(() -> {
+            if (channel.isActive()) {
+                action.run();
+            }
+        });
+    }
+
     /** Flushes to the server the parts of a streamed body that have been read. */
     void flush() {
         if (streamedBody != null) {
--- a/node/src/main/java/loadbalancer/transfer/RequestBody.java
+++ b/node/src/main/java/loadbalancer/transfer/RequestBody.java
@@ -9,6 +9,10 @@
  * <p>The beginning of the body is retained until a part after it is forwarded. Until then the body can be replayed to
  * another server; after that the request is committed to the server that is receiving it.
  *
+ * <p>A server runs a request once it has its last byte. No server gets that before the client, which has sent
+ * everything, is known to be there still. The beginning of a body may be sent without knowing that: it is unknown while
+ * there is more to read than the node can hold.
+ *
  * <p>Owns the beginning and the backlog of parts that wait for a server; {@link #release} releases both. All methods
  * are called on the event loop.
  */
@@ -53,7 +57,11 @@
     /** Parts after the beginning that have arrived while there was no sink. */
     private final ArrayDeque<ByteBuf> backlog = new ArrayDeque<>();
 
+    private long arrivedBytes;
     private boolean received;
+    /** Whether the end may be forwarded: the client was there when all of the body had been read. */
+    private boolean endConfirmed;
+
     private boolean truncated;
     private boolean clientPaused = true;
     private boolean blocked;
@@ -71,6 +79,7 @@
         this.client = client;
         this.length = length;
         this.beginning = beginning;
+        arrivedBytes = beginning.readableBytes();
         client.pauseReading();
     }
 
@@ -116,7 +125,8 @@
 
     /** Adds the next part from the client, and takes ownership of it. */
     public void add(ByteBuf part) {
-        if (sink == null) {
+        arrivedBytes += part.readableBytes();
+        if (sink == null || isLastPartInBacklog()) {
             backlog.add(part);
         } else {
             forward(part);
@@ -127,10 +137,21 @@
     /** Ends the body: the client has sent all of it, and its last byte may have arrived at this time. */
     public void end(long arrivedAtNanos) {
         received = true;
+        listener.onReceived(arrivedAtNanos);
+        client.whenClientConfirmed(this::confirmEnd);
+    }
+
+    private void confirmEnd() {
+        endConfirmed = true;
         if (sink != null) {
+            forwardBacklog();
             sink.finish();
         }
-        listener.onReceived(arrivedAtNanos);
+    }
+
+    /** Returns whether the last part is held back. What ends a chunked body is not part of it. */
+    private boolean isLastPartInBacklog() {
+        return arrivedBytes == length && !endConfirmed;
     }
 
     /**
@@ -145,7 +166,7 @@
 
     /** Returns whether the body has ended without its end being forwarded to a server. */
     public boolean isTruncated() {
-        return truncated;
+        return truncated || received && !endConfirmed;
     }
 
     /** Flushes the parts that have been forwarded. */
@@ -162,16 +183,21 @@
         sink = server;
         blocked = false;
         sink.write(beginning.retainedDuplicate());
-        while (!backlog.isEmpty()) {
-            forward(backlog.poll());
-        }
-        if (received) {
+        forwardBacklog();
+        if (endConfirmed) {
             sink.finish();
         }
         sink.flush();
         updateBackpressure();
     }
 
+    private void forwardBacklog() {
+        int keptParts = isLastPartInBacklog() ? 1 : 0;
+        while (backlog.size() > keptParts) {
+            forward(backlog.poll());
+        }
+    }
+
     private void forward(ByteBuf part) {
         if (beginning != null) {
             beginning.release();
--- a/node/src/main/java/loadbalancer/transfer/RequestSource.java
+++ b/node/src/main/java/loadbalancer/transfer/RequestSource.java
@@ -7,4 +7,10 @@
      * {@link System#nanoTime}: now, unless the source is or was paused and has not been read up to its end since.
      */
     long unreadSinceNanos();
+
+    /**
+     * Runs an action once it is known that the client is there, which may be now; never if the client has left. Only
+     * after the end of the body has been passed on.
+     */
+    void whenClientConfirmed(Runnable action);
 }
--- a/node/src/test/java/loadbalancer/transfer/RequestBodyTest.java
+++ b/node/src/test/java/loadbalancer/transfer/RequestBodyTest.java
@@ -16,6 +16,8 @@
     private static final long UNREAD_SINCE_NANOS = 17;
     private static final long ARRIVED_AT_NANOS = 42;
 
+    private boolean clientConfirmed = true;
+    private Runnable awaitingClient;
     private final List<String> events = new ArrayList<>();
     private final ByteBuf beginning = buffer("beginning ");
     private final RequestBody body = new RequestBody(new RecordingClient(), -1, beginning);
@@ -35,6 +37,15 @@
         public long unreadSinceNanos() {
             return UNREAD_SINCE_NANOS;
         }
+
+        @Override
+        public void whenClientConfirmed(Runnable action) {
+            if (clientConfirmed) {
+                action.run();
+            } else {
+                awaitingClient = action;
+            }
+        }
     }
 
     private static final class RecordingServer implements RequestBody.Sink {
@@ -161,4 +172,49 @@
         assertEquals(0, backlog.refCnt());
         assertFalse(body.isReplayable());
     }
+
+    /** Guards against a server that runs the request of a client that has left: it must not get the last byte. */
+    @Test
+    void lastByteIsForwardedOnceTheClientIsConfirmed() {
+        clientConfirmed = false;
+        RequestBody sized = new RequestBody(new RecordingClient(), 20, buffer("beginning "));
+        sized.setListener(new IgnoringListener());
+        RecordingServer server = new RecordingServer();
+        sized.streamTo(server);
+        sized.add(buffer("part "));
+        sized.add(buffer("end.."));
+        sized.end(ARRIVED_AT_NANOS);
+        assertEquals("beginning part ", server.written.toString());
+        assertFalse(server.finished);
+        assertTrue(sized.isTruncated());
+        awaitingClient.run();
+        assertEquals("beginning part end..", server.written.toString());
+        assertTrue(server.finished);
+        assertFalse(sized.isTruncated());
+        sized.release();
+    }
+
+    /** Guards against a server that gets the end of a body that it was chosen for while the client was unconfirmed. */
+    @Test
+    void lastByteIsNotForwardedToALaterServerEither() {
+        clientConfirmed = false;
+        body.add(buffer("part"));
+        body.end(ARRIVED_AT_NANOS);
+        RecordingServer server = new RecordingServer();
+        body.streamTo(server);
+        assertFalse(server.finished);
+        awaitingClient.run();
+        assertTrue(server.finished);
+    }
+
+    private static final class IgnoringListener implements RequestBody.Listener {
+        @Override
+        public void onCommitted() {}
+
+        @Override
+        public void onBlocked(boolean blocked) {}
+
+        @Override
+        public void onReceived(long arrivedAtNanos) {}
+    }
 }
