Keep the turns of the event loop short while requests of a crowd are dropped

Cause: each connection dropped 64 KiB of requests in a turn, 300 of them up to half a second; and a client counted as there 'now' where the poll that showed it lay at the beginning of that turn. Change: all connections together drop 512 requests a turn (TurnQuota), then their input yields. EndOfStreamWatch counts from the last poll; an action that waits for a poll runs right behind it, however long the turn, so that it waits for one turn at most.

--- a/node/src/main/java/loadbalancer/client/ClientConnection.java
+++ b/node/src/main/java/loadbalancer/client/ClientConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.ReferenceCountUtil;
@@ -30,6 +31,9 @@
  * releases the parts of responses that are written to it.
  */
 public final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
+    /** How many requests one connection starts in a turn of the event loop. */
+    private static final int MAX_REQUESTS_PER_TURN = 8;
+
     private final ClientConnectionOwner owner;
     private final SocketChannel channel;
     private final StrictServerCodec codec;
@@ -48,12 +52,9 @@
         this.owner = owner;
         pipelined = new PipelinedMessages(request -> owner.reader().classIndexOf(request));
         readAhead = new ReadAheadHandler(
-                owner.readAheadBudget(),
-                new Input(),
-                owner.lagMeter()::turnNumber,
-                new EarliestArrival(owner.lagMeter()));
+                owner.readAheadBudget(), new Input(), owner.lagMeter(), new EarliestArrival(owner.lagMeter()));
         codec = new StrictServerCodec(readAhead::isPaused);
-        turnQuota = new TurnQuota(owner.lagMeter());
+        turnQuota = new TurnQuota(owner.lagMeter(), MAX_REQUESTS_PER_TURN);
         assembler = new RequestAssembler(channel, readAhead, state, pipelined, owner, new AssemblerListener());
         writer = new ResponseWriter(channel, state, written -> onResponseWritten());
         timeouts = new ConnectionTimeouts(state, assembler, writer);
@@ -140,15 +141,23 @@
             return;
         }
         if (state.isRequestReceived() || !pipelined.isEmpty()) {
-            pipelined.add(part, readAhead.arrivedAtNanos());
-            if (pipelined.isFull()) {
-                readAhead.pause();
-            }
+            queue(part);
             return;
         }
         assembler.read(part, readAhead.arrivedAtNanos());
     }
 
+    private void queue(HttpObject part) {
+        pipelined.add(part, readAhead.arrivedAtNanos());
+        if (pipelined.isFull()) {
+            readAhead.pause();
+        } else if (pipelined.isRejecting()
+                && part instanceof HttpRequest
+                && owner.rejectionQuota().isUsedUp()) {
+            readAhead.yieldTurn();
+        }
+    }
+
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         assembler.flush();
--- a/node/src/main/java/loadbalancer/client/ClientConnectionOwner.java
+++ b/node/src/main/java/loadbalancer/client/ClientConnectionOwner.java
@@ -11,6 +11,9 @@
     /** Returns the memory for input that is read ahead. */
     ReadAheadBudget readAheadBudget();
 
+    /** Returns the number of requests that all connections together may drop in a turn of the event loop. */
+    TurnQuota rejectionQuota();
+
     /** Returns the reader for the heads of new requests. */
     RequestReader reader();
 
--- a/node/src/main/java/loadbalancer/client/ClientServer.java
+++ b/node/src/main/java/loadbalancer/client/ClientServer.java
@@ -41,6 +41,9 @@
         void onRequestRejected(int classIndex);
     }
 
+    /** A few milliseconds of work. */
+    private static final int MAX_REJECTIONS_PER_TURN = 512;
+
     private final MeasuredEventLoop loop;
     private RequestReader reader;
     private final SocketBudget sockets;
@@ -50,6 +53,7 @@
 
     private final ReadAheadBudget readAheadBudget = ReadAheadBudget.ofHeap();
 
+    private final TurnQuota rejectionQuota;
     private final InputOverflowLog overflows = new InputOverflowLog();
 
     private Channel listeningChannel;
@@ -70,6 +74,7 @@
         this.reader = reader;
         this.sockets = sockets;
         this.handler = handler;
+        rejectionQuota = new TurnQuota(loop.lagMeter(), MAX_REJECTIONS_PER_TURN);
     }
 
     /**
@@ -221,6 +226,11 @@
         return readAheadBudget;
     }
 
+    @Override
+    public TurnQuota rejectionQuota() {
+        return rejectionQuota;
+    }
+
     @Override
     public RequestReader reader() {
         return reader;
--- a/node/src/main/java/loadbalancer/client/EndOfStreamWatch.java
+++ b/node/src/main/java/loadbalancer/client/EndOfStreamWatch.java
@@ -4,8 +4,8 @@
  * Records up to which time it is known that a client had not ended its stream.
  *
  * <p>The end is noticed only by reading up to it. As long as the socket has been read empty and is polled, the client
- * is known to be there at each poll. Once bytes have arrived that are not read to their end, or the socket is not
- * polled, nothing is known of the time since. Times are values of {@link System#nanoTime}. Not thread-safe.
+ * is known to have been there at the last poll. Once bytes have arrived that are not read to their end, or the socket
+ * is not polled, nothing is known of the time since. Times are values of {@link System#nanoTime}. Not thread-safe.
  */
 final class EndOfStreamWatch {
     /** Whether all that has arrived has been read, and the event loop polls the socket. */
@@ -40,8 +40,12 @@
         }
     }
 
-    /** Returns for how long it has been unknown whether the stream has ended; 0 if it has not. */
-    long unconfirmedNanos(long nowNanos) {
-        return upToDate ? 0 : nowNanos - confirmedAtNanos;
+    /**
+     * Returns for how long it has been unknown whether the stream has ended.
+     *
+     * @param polledAtNanos when the event loop last polled the sockets
+     */
+    long unconfirmedNanos(long nowNanos, long polledAtNanos) {
+        return nowNanos - (upToDate ? polledAtNanos : confirmedAtNanos);
     }
 }
--- a/node/src/main/java/loadbalancer/client/ReadAheadHandler.java
+++ b/node/src/main/java/loadbalancer/client/ReadAheadHandler.java
@@ -5,9 +5,9 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.util.concurrent.Future;
-import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import loadbalancer.eventloop.LoopTurns;
 import loadbalancer.transfer.TransferLimits;
 
 /**
@@ -33,13 +33,14 @@
     private static final long MAX_UNCONFIRMED_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
     private final InputListener listener;
+    private final LoopTurns turns;
     private final LongSupplier earliestArrivalNanos;
     private final ArrivalEstimator estimator = new ArrivalEstimator(TransferLimits.SOCKET_RECEIVE_BUFFER_BYTES);
     private final EndOfStreamWatch endOfStream = new EndOfStreamWatch();
     private final SocketProbe probe;
     private final HeldInput held;
     /** Actions that wait until it is known whether the client has left, in order. */
-    private final ArrayDeque<Runnable> unconfirmedActions = new ArrayDeque<>();
+    private final DeferredActions unconfirmedActions = new DeferredActions();
 
     private ChannelHandlerContext context;
     private boolean paused;
@@ -58,14 +59,14 @@
     private long arrivedAtNanos;
 
     /**
-     * @param turn the number of the current turn of the event loop
      * @param earliestArrivalNanos the earliest time at which bytes that are read now may have arrived if the input is
      *     not behind
      */
     ReadAheadHandler(
-            ReadAheadBudget budget, InputListener listener, LongSupplier turn, LongSupplier earliestArrivalNanos) {
+            ReadAheadBudget budget, InputListener listener, LoopTurns turns, LongSupplier earliestArrivalNanos) {
         held = new HeldInput(budget);
-        probe = new SocketProbe(this, turn);
+        probe = new SocketProbe(this, turns);
+        this.turns = turns;
         this.listener = listener;
         this.earliestArrivalNanos = earliestArrivalNanos;
     }
@@ -109,9 +110,9 @@
 
     // ---------------------------------------------------------------- whether the client is there
 
-    /** Returns for how long it has been unknown whether the client has ended its stream; 0 if it has not. */
+    /** Returns for how long it has been unknown whether the client has ended its stream. */
     long unconfirmedNanos() {
-        return endOfStream.unconfirmedNanos(System.nanoTime());
+        return endOfStream.unconfirmedNanos(System.nanoTime(), turns.polledAtNanos());
     }
 
     /**
@@ -139,12 +140,6 @@
         }
     }
 
-    private void runUnconfirmedActions() {
-        for (int count = unconfirmedActions.size(); count > 0; count--) {
-            whenConfirmed(unconfirmedActions.poll());
-        }
-    }
-
     private void probe() {
         if (probe.isRunning() || !context.channel().isActive()) {
             return;
@@ -161,7 +156,7 @@
         if (behind && isProbeUseful()) {
             probe();
         }
-        runUnconfirmedActions();
+        unconfirmedActions.drainTo(this::whenConfirmed);
     }
 
     /** Whether more is to be read: for an action that waits, to read ahead, or to see when reading has caught up. */
@@ -174,7 +169,7 @@
         if (unconfirmedActions.isEmpty()) {
             scheduleReadAhead();
         } else if (isConfirmed()) {
-            runUnconfirmedActions();
+            unconfirmedActions.drainTo(this::whenConfirmed);
         } else if (paused) {
             listener.onInputOverflow();
         }
@@ -183,7 +178,8 @@
     @Override
     public void onSocketEmpty() {
         onInputCaughtUp();
-        runUnconfirmedActions();
+        // Also if this turn has been long: otherwise no attempt would begin where all turns are long.
+        unconfirmedActions.drainTo(Runnable::run);
     }
 
     private void onInputCaughtUp() {
@@ -344,6 +340,6 @@
         cancelTimer();
         held.discard();
         closed.fireChannelInactive();
-        runUnconfirmedActions();
+        unconfirmedActions.drainTo(this::whenConfirmed);
     }
 }
--- a/node/src/main/java/loadbalancer/client/SocketProbe.java
+++ b/node/src/main/java/loadbalancer/client/SocketProbe.java
@@ -2,7 +2,7 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
+import loadbalancer.eventloop.LoopTurns;
 
 /**
  * Finds out whether the socket of a channel is empty: reads once, and looks after the next poll whether that was all.
@@ -19,14 +19,13 @@
     }
 
     private final Listener listener;
-    private final LongSupplier turnNumber;
+    private final LoopTurns turns;
     private boolean running;
     private long reads;
 
-    /** @param turnNumber the number of the current turn of the event loop; each turn begins with a poll */
-    SocketProbe(Listener listener, LongSupplier turnNumber) {
+    SocketProbe(Listener listener, LoopTurns turns) {
         this.listener = listener;
-        this.turnNumber = turnNumber;
+        this.turns = turns;
     }
 
     /** Records a read from the socket. */
@@ -48,7 +47,7 @@
         if (!running) {
             running = true;
             context.read();
-            endAfterPoll(context, reads, turnNumber.getAsLong());
+            endAfterPoll(context, reads, turns.turnNumber());
         }
     }
 
@@ -57,7 +56,7 @@
                 .schedule(
                         () -> {
                             // A probe that began while the turn handled I/O events runs its tasks before the next poll.
-                            if (turnNumber.getAsLong() == startedInTurn) {
+                            if (turns.turnNumber() == startedInTurn) {
                                 endAfterPoll(context, readsBefore, startedInTurn);
                             } else {
                                 end(context, readsBefore);
--- a/node/src/main/java/loadbalancer/client/TurnQuota.java
+++ b/node/src/main/java/loadbalancer/client/TurnQuota.java
@@ -1,27 +1,27 @@
 package loadbalancer.client;
 
-import loadbalancer.eventloop.LoopLagMeter;
+import loadbalancer.eventloop.LoopTurns;
 
 /**
- * Limits the requests that one connection starts in a turn of the event loop. Without a limit, a client that sends many
- * requests at once which need no server would keep the loop from all others. Used on the event loop only.
+ * Limits how many requests are read in a turn of the event loop. Without a limit, clients that send many requests at
+ * once which need no server would keep the loop from all others. Used on the event loop only.
  */
 final class TurnQuota {
-    private static final int MAX_REQUESTS = 8;
-
-    private final LoopLagMeter loop;
+    private final LoopTurns turns;
+    private final int maxRequests;
     private long turn;
     private int requests;
 
-    TurnQuota(LoopLagMeter loop) {
-        this.loop = loop;
+    TurnQuota(LoopTurns turns, int maxRequests) {
+        this.turns = turns;
+        this.maxRequests = maxRequests;
     }
 
-    /** Counts a request that starts now, and returns whether it is the last one for this turn. */
+    /** Counts a request that is read now, and returns whether no other should be read in this turn. */
     boolean isUsedUp() {
-        long currentTurn = loop.turnNumber();
+        long currentTurn = turns.turnNumber();
         requests = currentTurn == turn ? requests + 1 : 1;
         turn = currentTurn;
-        return requests >= MAX_REQUESTS;
+        return requests >= maxRequests;
     }
 }
--- a/node/src/main/java/loadbalancer/eventloop/LoopLagMeter.java
+++ b/node/src/main/java/loadbalancer/eventloop/LoopLagMeter.java
@@ -27,7 +27,7 @@
  * <p>The meter wraps the loop's I/O handler and is its select strategy. All methods run on the loop's thread, except
  * {@link #wakeup} and {@link #isCompatible}, which any thread may call.
  */
-public final class LoopLagMeter implements IoHandler, SelectStrategy {
+public final class LoopLagMeter implements IoHandler, SelectStrategy, LoopTurns {
     /** A shorter lag counts as none, because short lags are normal and no deadline is that exact. */
     static final long MIN_LAG_NANOS = 20_000_000;
 
@@ -72,11 +72,16 @@
         handler = wrapped;
     }
 
-    /** Returns the number of the current turn, counted from the start of the loop. */
+    @Override
     public long turnNumber() {
         return turnNumber;
     }
 
+    @Override
+    public long polledAtNanos() {
+        return polledAtNanos;
+    }
+
     /**
      * Returns the earliest time at which the bytes that are handled now may have arrived, as a value of {@link
      * System#nanoTime}. That is now, unless they may have waited for at least {@link #MIN_LAG_NANOS}.
--- a/node/src/test/java/loadbalancer/client/ReadAheadHandlerTest.java
+++ b/node/src/test/java/loadbalancer/client/ReadAheadHandlerTest.java
@@ -10,7 +10,6 @@
 import java.io.ByteArrayOutputStream;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
 import loadbalancer.transfer.TransferLimits;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -23,10 +22,10 @@
     private static final int UNCONFIRMED_MS = 60;
 
     private final ReadAheadBudget budget = new ReadAheadBudget(1 << 20);
-    private final AtomicLong turn = new AtomicLong();
+    private final ManualTurns turns = new ManualTurns();
 
     private final RecordingListener listener = new RecordingListener();
-    private final ReadAheadHandler handler = new ReadAheadHandler(budget, listener, turn::get, System::nanoTime);
+    private final ReadAheadHandler handler = new ReadAheadHandler(budget, listener, turns, System::nanoTime);
     private final EmbeddedChannel channel = new EmbeddedChannel(handler);
     private final ByteArrayOutputStream sent = new ByteArrayOutputStream();
     private final ByteArrayOutputStream passedOn = new ByteArrayOutputStream();
@@ -56,13 +55,13 @@
 
     /** A turn of the event loop in which nothing is read. */
     private void nextTurn() {
-        turn.incrementAndGet();
+        turns.next();
         channel.runPendingTasks();
     }
 
     /** A turn of the event loop in which this is read. */
     private void read(byte[] bytes) {
-        turn.incrementAndGet();
+        turns.next();
         sent.writeBytes(bytes);
         // Half of the buffers are mostly empty, which the handler compacts.
         ByteBuf buffer = Unpooled.buffer(bytes.length % 2 == 0 ? bytes.length : 3 * bytes.length);
@@ -173,6 +172,17 @@
         assertEquals(2, runs.get());
     }
 
+    /** Guards against an attempt that begins long after the poll that found its client there: the turn was long. */
+    @Test
+    void actionWaitsForTheNextPollAfterALongTurn() throws Exception {
+        AtomicInteger runs = new AtomicInteger();
+        Thread.sleep(UNCONFIRMED_MS);
+        handler.whenConfirmed(runs::incrementAndGet);
+        assertEquals(0, runs.get());
+        nextTurn();
+        assertEquals(1, runs.get());
+    }
+
     /** Guards against an attempt that is never decided: its client closes, or the action would wait for good. */
     @Test
     void actionRunsOnceTheConnectionHasClosed() throws Exception {
--- a/node/src/test/java/loadbalancer/client/SocketProbeTest.java
+++ b/node/src/test/java/loadbalancer/client/SocketProbeTest.java
@@ -14,7 +14,7 @@
     private final List<String> results = new ArrayList<>();
     private final EmbeddedChannel channel = new EmbeddedChannel(new ChannelInboundHandlerAdapter());
     private final ChannelHandlerContext context = channel.pipeline().firstContext();
-    private long turn = 1;
+    private final ManualTurns turns = new ManualTurns();
 
     private final SocketProbe probe = new SocketProbe(
             new SocketProbe.Listener() {
@@ -28,10 +28,10 @@
                     results.add("not empty");
                 }
             },
-            () -> turn);
+            turns);
 
     private void nextTurn() {
-        turn++;
+        turns.next();
         channel.runPendingTasks();
     }
 
