Give the reading of clients' input a clock that tests move

Change: LoopClock (time, turn, last poll) in place of System.nanoTime in ReadAheadHandler; ManualClock in the tests. No check changed.

--- a/node/src/main/java/loadbalancer/client/ReadAheadHandler.java
+++ b/node/src/main/java/loadbalancer/client/ReadAheadHandler.java
@@ -7,7 +7,7 @@
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
-import loadbalancer.eventloop.LoopTurns;
+import loadbalancer.eventloop.LoopClock;
 import loadbalancer.transfer.TransferLimits;
 
 /**
@@ -33,7 +33,7 @@
     private static final long MAX_UNCONFIRMED_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
     private final InputListener listener;
-    private final LoopTurns turns;
+    private final LoopClock clock;
     private final LongSupplier earliestArrivalNanos;
     private final ArrivalEstimator estimator = new ArrivalEstimator(TransferLimits.SOCKET_RECEIVE_BUFFER_BYTES);
     private final EndOfStreamWatch endOfStream = new EndOfStreamWatch();
@@ -63,10 +63,10 @@
      *     not behind
      */
     ReadAheadHandler(
-            ReadAheadBudget budget, InputListener listener, LoopTurns turns, LongSupplier earliestArrivalNanos) {
+            ReadAheadBudget budget, InputListener listener, LoopClock clock, LongSupplier earliestArrivalNanos) {
         held = new HeldInput(budget);
-        probe = new SocketProbe(this, turns);
-        this.turns = turns;
+        probe = new SocketProbe(this, clock);
+        this.clock = clock;
         this.listener = listener;
         this.earliestArrivalNanos = earliestArrivalNanos;
     }
@@ -100,7 +100,7 @@
         if (!held.isEmpty()) {
             return held.firstArrivedAtNanos();
         }
-        return behind ? estimator.earliestUnreadNanos() : System.nanoTime();
+        return behind ? estimator.earliestUnreadNanos() : clock.nanoTime();
     }
 
     /** Returns the number of bytes that are held. */
@@ -112,7 +112,7 @@
 
     /** Returns for how long it has been unknown whether the client has ended its stream. */
     long unconfirmedNanos() {
-        return endOfStream.unconfirmedNanos(System.nanoTime(), turns.polledAtNanos());
+        return endOfStream.unconfirmedNanos(clock.nanoTime(), clock.polledAtNanos());
     }
 
     /**
@@ -185,7 +185,7 @@
     private void onInputCaughtUp() {
         endOfStream.onSocketEmpty();
         if (mustHold()) {
-            estimator.onEmpty(System.nanoTime());
+            estimator.onEmpty(clock.nanoTime());
         } else {
             behind = false;
             readingAhead = false;
@@ -216,10 +216,10 @@
 
     private void stopReadingFromSocket() {
         context.channel().config().setAutoRead(false);
-        endOfStream.onPollingStopped(System.nanoTime());
+        endOfStream.onPollingStopped(clock.nanoTime());
         if (!behind) {
             behind = true;
-            estimator.onEmpty(System.nanoTime());
+            estimator.onEmpty(clock.nanoTime());
             scheduleReadAhead();
         }
     }
@@ -259,7 +259,7 @@
             reading.fireChannelRead(bytes);
         }
         if (emptied && mustHold()) {
-            estimator.onEmpty(System.nanoTime());
+            estimator.onEmpty(clock.nanoTime());
         }
     }
 
--- a/node/src/main/java/loadbalancer/client/SocketProbe.java
+++ b/node/src/main/java/loadbalancer/client/SocketProbe.java
@@ -2,7 +2,7 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import java.util.concurrent.TimeUnit;
-import loadbalancer.eventloop.LoopTurns;
+import loadbalancer.eventloop.LoopClock;
 
 /**
  * Finds out whether the socket of a channel is empty: reads once, and looks after the next poll whether that was all.
@@ -19,13 +19,13 @@
     }
 
     private final Listener listener;
-    private final LoopTurns turns;
+    private final LoopClock clock;
     private boolean running;
     private long reads;
 
-    SocketProbe(Listener listener, LoopTurns turns) {
+    SocketProbe(Listener listener, LoopClock clock) {
         this.listener = listener;
-        this.turns = turns;
+        this.clock = clock;
     }
 
     /** Records a read from the socket. */
@@ -47,7 +47,7 @@
         if (!running) {
             running = true;
             context.read();
-            endAfterPoll(context, reads, turns.turnNumber());
+            endAfterPoll(context, reads, clock.turnNumber());
         }
     }
 
@@ -56,7 +56,7 @@
                 .schedule(
                         () -> {
                             // A probe that began while the turn handled I/O events runs its tasks before the next poll.
-                            if (turns.turnNumber() == startedInTurn) {
+                            if (clock.turnNumber() == startedInTurn) {
                                 endAfterPoll(context, readsBefore, startedInTurn);
                             } else {
                                 end(context, readsBefore);
--- a/node/src/main/java/loadbalancer/eventloop/LoopLagMeter.java
+++ b/node/src/main/java/loadbalancer/eventloop/LoopLagMeter.java
@@ -27,7 +27,7 @@
  * <p>The meter wraps the loop's I/O handler and is its select strategy. All methods run on the loop's thread, except
  * {@link #wakeup} and {@link #isCompatible}, which any thread may call.
  */
-public final class LoopLagMeter implements IoHandler, SelectStrategy, LoopTurns {
+public final class LoopLagMeter implements IoHandler, SelectStrategy, LoopClock {
     /** A shorter lag counts as none, because short lags are normal and no deadline is that exact. */
     static final long MIN_LAG_NANOS = 20_000_000;
 
@@ -72,6 +72,11 @@
         handler = wrapped;
     }
 
+    @Override
+    public long nanoTime() {
+        return nanoTime.getAsLong();
+    }
+
     @Override
     public long turnNumber() {
         return turnNumber;
--- a/node/src/test/java/loadbalancer/client/ReadAheadHandlerTest.java
+++ b/node/src/test/java/loadbalancer/client/ReadAheadHandlerTest.java
@@ -9,6 +9,7 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.io.ByteArrayOutputStream;
 import java.util.Random;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import loadbalancer.transfer.TransferLimits;
 import org.junit.jupiter.api.Test;
@@ -22,10 +23,10 @@
     private static final int UNCONFIRMED_MS = 60;
 
     private final ReadAheadBudget budget = new ReadAheadBudget(1 << 20);
-    private final ManualTurns turns = new ManualTurns();
+    private final ManualClock clock = new ManualClock();
 
     private final RecordingListener listener = new RecordingListener();
-    private final ReadAheadHandler handler = new ReadAheadHandler(budget, listener, turns, System::nanoTime);
+    private final ReadAheadHandler handler = new ReadAheadHandler(budget, listener, clock, clock::nanoTime);
     private final EmbeddedChannel channel = new EmbeddedChannel(handler);
     private final ByteArrayOutputStream sent = new ByteArrayOutputStream();
     private final ByteArrayOutputStream passedOn = new ByteArrayOutputStream();
@@ -55,13 +56,13 @@
 
     /** A turn of the event loop in which nothing is read. */
     private void nextTurn() {
-        turns.next();
+        clock.nextTurn();
         channel.runPendingTasks();
     }
 
     /** A turn of the event loop in which this is read. */
     private void read(byte[] bytes) {
-        turns.next();
+        clock.nextTurn();
         sent.writeBytes(bytes);
         // Half of the buffers are mostly empty, which the handler compacts.
         ByteBuf buffer = Unpooled.buffer(bytes.length % 2 == 0 ? bytes.length : 3 * bytes.length);
@@ -112,7 +113,7 @@
         handler.resume();
         nextTurn();
         read(new byte[100]);
-        long nowNanos = System.nanoTime();
+        long nowNanos = clock.nanoTime();
         assertTrue(handler.unreadSinceNanos() >= nowNanos, "unread input may have arrived before");
     }
 
@@ -134,10 +135,15 @@
         assertEquals(0, passedOn.size());
     }
 
-    private void pauseUntilUnconfirmed() throws InterruptedException {
+    private void passTime() {
+        clock.advanceMillis(UNCONFIRMED_MS);
+        channel.advanceTimeBy(UNCONFIRMED_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void pauseUntilUnconfirmed() {
         handler.pause();
         read(new byte[100]);
-        Thread.sleep(UNCONFIRMED_MS);
+        passTime();
     }
 
     /** Reads until the budget allows no more. */
@@ -149,7 +155,7 @@
 
     /** Guards against an attempt that begins while the end of the client's stream may lie in what is not read. */
     @Test
-    void actionWaitsUntilTheSocketIsEmpty() throws Exception {
+    void actionWaitsUntilTheSocketIsEmpty() {
         AtomicInteger runs = new AtomicInteger();
         pauseUntilUnconfirmed();
         handler.whenConfirmed(runs::incrementAndGet);
@@ -174,9 +180,9 @@
 
     /** Guards against an attempt that begins long after the poll that found its client there: the turn was long. */
     @Test
-    void actionWaitsForTheNextPollAfterALongTurn() throws Exception {
+    void actionWaitsForTheNextPollAfterALongTurn() {
         AtomicInteger runs = new AtomicInteger();
-        Thread.sleep(UNCONFIRMED_MS);
+        passTime();
         handler.whenConfirmed(runs::incrementAndGet);
         assertEquals(0, runs.get());
         nextTurn();
@@ -185,7 +191,7 @@
 
     /** Guards against an attempt that is never decided: its client closes, or the action would wait for good. */
     @Test
-    void actionRunsOnceTheConnectionHasClosed() throws Exception {
+    void actionRunsOnceTheConnectionHasClosed() {
         AtomicInteger runs = new AtomicInteger();
         pauseUntilUnconfirmed();
         handler.whenConfirmed(runs::incrementAndGet);
@@ -196,7 +202,7 @@
 
     /** Guards against not knowing whether a client is there because no more of its input may be held. */
     @Test
-    void inputThatCannotBeHeldIsTakenOnlyIfAnActionWaits() throws Exception {
+    void inputThatCannotBeHeldIsTakenOnlyIfAnActionWaits() {
         pauseUntilUnconfirmed();
         useUpBudget();
         nextTurn();
@@ -215,7 +221,7 @@
 
     /** Guards against a body that is never sent because it is larger than what may be held. */
     @Test
-    void bodyThatCannotBeHeldNeedsNoConfirmationToBegin() throws Exception {
+    void bodyThatCannotBeHeldNeedsNoConfirmationToBegin() {
         listener.bodyWaiting = true;
         pauseUntilUnconfirmed();
         useUpBudget();
--- a/node/src/test/java/loadbalancer/client/SocketProbeTest.java
+++ b/node/src/test/java/loadbalancer/client/SocketProbeTest.java
@@ -14,7 +14,7 @@
     private final List<String> results = new ArrayList<>();
     private final EmbeddedChannel channel = new EmbeddedChannel(new ChannelInboundHandlerAdapter());
     private final ChannelHandlerContext context = channel.pipeline().firstContext();
-    private final ManualTurns turns = new ManualTurns();
+    private final ManualClock clock = new ManualClock();
 
     private final SocketProbe probe = new SocketProbe(
             new SocketProbe.Listener() {
@@ -28,10 +28,10 @@
                     results.add("not empty");
                 }
             },
-            turns);
+            clock);
 
     private void nextTurn() {
-        turns.next();
+        clock.nextTurn();
         channel.runPendingTasks();
     }
 
--- a/node/src/test/java/loadbalancer/client/TurnQuotaTest.java
+++ b/node/src/test/java/loadbalancer/client/TurnQuotaTest.java
@@ -6,8 +6,8 @@
 import org.junit.jupiter.api.Test;
 
 class TurnQuotaTest {
-    private final ManualTurns turns = new ManualTurns();
-    private final TurnQuota quota = new TurnQuota(turns, 3);
+    private final ManualClock clock = new ManualClock();
+    private final TurnQuota quota = new TurnQuota(clock, 3);
 
     /** Guards against clients that keep the event loop from all others: each turn has its own quota and no more. */
     @Test
@@ -17,7 +17,7 @@
             assertFalse(quota.isUsedUp());
             assertTrue(quota.isUsedUp());
             assertTrue(quota.isUsedUp());
-            turns.next();
+            clock.nextTurn();
         }
     }
 }
