Take a socket for empty only if it was polled throughout the probe

Cause: a probe reads once and takes the socket for empty if nothing came up to the next poll. If the input is paused in between, as a server takes no more of the body, the socket is not polled, nothing comes, and the probe says empty. Change: a pause makes the running probe find out nothing.

--- a/node/src/main/java/loadbalancer/client/ReadAheadHandler.java
+++ b/node/src/main/java/loadbalancer/client/ReadAheadHandler.java
@@ -217,6 +217,7 @@
     private void stopReadingFromSocket() {
         context.channel().config().setAutoRead(false);
         endOfStream.onPollingStopped(clock.nanoTime());
+        probe.onPollingStopped();
         if (!behind) {
             behind = true;
             estimator.onEmpty(clock.nanoTime());
--- a/node/src/main/java/loadbalancer/client/SocketProbe.java
+++ b/node/src/main/java/loadbalancer/client/SocketProbe.java
@@ -14,13 +14,16 @@
         /** Nothing has been read since the probe began. The socket is still polled. */
         void onSocketEmpty();
 
-        /** Something has been read; there may be more. */
+        /** Something has been read and there may be more, or the socket was not polled. */
         void onSocketNotEmpty();
     }
 
     private final Listener listener;
     private final LoopClock clock;
     private boolean running;
+    /** Whether polling has stopped since the probe began. */
+    private boolean interrupted;
+
     private long reads;
 
     SocketProbe(Listener listener, LoopClock clock) {
@@ -33,6 +36,11 @@
         reads++;
     }
 
+    /** Records that the socket is not polled any more. A probe that is running finds out nothing. */
+    void onPollingStopped() {
+        interrupted = true;
+    }
+
     /** Returns the number of reads from the socket. */
     long reads() {
         return reads;
@@ -46,6 +54,7 @@
     void start(ChannelHandlerContext context) {
         if (!running) {
             running = true;
+            interrupted = false;
             context.read();
             endAfterPoll(context, reads, clock.turnNumber());
         }
@@ -71,7 +80,7 @@
         if (!context.channel().isActive()) {
             return;
         }
-        if (reads == readsBefore) {
+        if (reads == readsBefore && !interrupted) {
             listener.onSocketEmpty();
         } else {
             listener.onSocketNotEmpty();
--- a/node/src/test/java/loadbalancer/client/ReadAheadHandlerTest.java
+++ b/node/src/test/java/loadbalancer/client/ReadAheadHandlerTest.java
@@ -189,6 +189,22 @@
         assertEquals(1, runs.get());
     }
 
+    /** Guards against calling a socket empty that was not polled: the input was resumed and paused in one turn. */
+    @Test
+    void socketThatIsNotPolledIsNotTakenForEmpty() {
+        AtomicInteger runs = new AtomicInteger();
+        pauseUntilUnconfirmed();
+        handler.whenConfirmed(runs::incrementAndGet);
+        read(new byte[100]);
+        handler.resume();
+        channel.runPendingTasks();
+        handler.pause();
+        nextTurn();
+        assertEquals(0, runs.get());
+        nextTurn();
+        assertEquals(1, runs.get());
+    }
+
     /** Guards against an attempt that is never decided: its client closes, or the action would wait for good. */
     @Test
     void actionRunsOnceTheConnectionHasClosed() {
