Receive clients' input into buffers that do not make TCP wait for its probe timer

Cause: a trial that logged each confirmation showed the socket polled and empty although the client had sent more and its end. With a receive buffer of 64 KiB the window often has no room for a loopback segment of 64 KiB, and the sender waits for the probe timer, 200 ms or more. An empty socket is then no sign that all has come. Change: SO_RCVBUF of clients is 256 KiB. Price: what clients that are not read leave in the kernel's buffers may be four times as much. What is left: on a network whose segments need more room, or that loses them, an empty socket is no proof either; no program can see more.

--- a/node/src/main/java/loadbalancer/transfer/TransferLimits.java
+++ b/node/src/main/java/loadbalancer/transfer/TransferLimits.java
@@ -31,11 +31,13 @@
     public static final int SOCKET_SEND_BUFFER_BYTES = 64 << 10;
 
     /**
-     * SO_RCVBUF of client connections. What waits in the buffer has been written by the client, whose time runs, but is
-     * not known to the node. It also bounds the memory of clients that are not read. A window that is smaller than a
-     * loopback segment (64 KiB) makes TCP wait for its timers.
+     * SO_RCVBUF of client connections. What waits in the buffer has been written by the client, whose time runs, but
+     * the node does not know it. It also bounds the memory of clients that are not read.
+     *
+     * <p>A window that has no room for two loopback segments (64 KiB each) makes TCP wait for its probe timer, 200 ms
+     * or more, in which the socket is empty although the client has sent more, and perhaps the end of its stream.
      */
-    public static final int SOCKET_RECEIVE_BUFFER_BYTES = 64 << 10;
+    public static final int SOCKET_RECEIVE_BUFFER_BYTES = 256 << 10;
 
     /**
      * SO_SNDBUF of connections to servers. What a slow server has still to read of a large request costs the client
