Let a poll that found the client there count for 100 ms, also within its turn

An action that had waited for a poll ran however long the rest of its turn was. Change: it waits for another poll if this one is over 100 ms ago. Price: a node all of whose turns are that long begins no attempt that has to wait; its requests are answered at their deadline. The new test was not run on the code before.

--- a/node/src/main/java/loadbalancer/client/ReadAheadHandler.java
+++ b/node/src/main/java/loadbalancer/client/ReadAheadHandler.java
@@ -32,6 +32,9 @@
      */
     private static final long MAX_UNCONFIRMED_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
+    /** How long ago the poll may be that has found the client there: the rest of a long turn counts as well. */
+    private static final long MAX_SINCE_POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
     private final InputListener listener;
     private final LoopClock clock;
     private final LongSupplier earliestArrivalNanos;
@@ -178,8 +181,8 @@
     @Override
     public void onSocketEmpty() {
         onInputCaughtUp();
-        // Also if this turn has been long: otherwise no attempt would begin where all turns are long.
-        unconfirmedActions.drainTo(Runnable::run);
+        boolean pollIsRecent = unconfirmedNanos() <= MAX_SINCE_POLL_NANOS;
+        unconfirmedActions.drainTo(pollIsRecent ? Runnable::run : this::whenConfirmed);
     }
 
     private void onInputCaughtUp() {
--- a/node/src/test/java/loadbalancer/client/ReadAheadHandlerTest.java
+++ b/node/src/test/java/loadbalancer/client/ReadAheadHandlerTest.java
@@ -21,6 +21,8 @@
     private static final int STEPS = 2_000;
     /** Longer than it may be unknown whether a client is there. */
     private static final int UNCONFIRMED_MS = 60;
+    /** Longer than an attempt may begin after its client has left. */
+    private static final int LONG_TURN_MS = 110;
 
     private final ReadAheadBudget budget = new ReadAheadBudget(1 << 20);
     private final ManualClock clock = new ManualClock();
@@ -189,6 +191,20 @@
         assertEquals(1, runs.get());
     }
 
+    /** Guards against an attempt that begins at the end of a turn so long that its client may have left meanwhile. */
+    @Test
+    void actionWaitsForAnotherPollIfTheTurnOfTheFirstOneIsLong() {
+        AtomicInteger runs = new AtomicInteger();
+        passTime();
+        handler.whenConfirmed(runs::incrementAndGet);
+        clock.nextTurn();
+        clock.advanceMillis(LONG_TURN_MS);
+        channel.runPendingTasks();
+        assertEquals(0, runs.get());
+        nextTurn();
+        assertEquals(1, runs.get());
+    }
+
     /** Guards against calling a socket empty that was not polled: the input was resumed and paused in one turn. */
     @Test
     void socketThatIsNotPolledIsNotTakenForEmpty() {
