--- a/harness/src/test/java/loadbalancer/harness/soak/SoakRunTest.java
+++ b/harness/src/test/java/loadbalancer/harness/soak/SoakRunTest.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import loadbalancer.harness.process.DeployFile;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -24,6 +25,19 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 130, 146})
     void rulesForRequestsAreKept(long seed) throws Exception {
+        assertKeepsRules(seed);
+    }
+
+    /**
+     * Guards against losing the requests of a crowd that leaves and comes again at once, in connections that find no
+     * room or behind bodies of which the last bytes are sent on.
+     */
+    @Test
+    void rulesForRequestsOfACrowdThatComesAgainAreKept() throws Exception {
+        assertKeepsRules(202);
+    }
+
+    private void assertKeepsRules(long seed) throws Exception {
         DeployFile deploy = DeployFile.find(Path.of(""));
         SoakReport report = SoakRun.play(SoakPlan.of(seed, LENGTH_MS), deploy.root(), deploy.run(), folder);
         System.out.println(report);
