Log and count connections that the node ends by itself or does not accept

Change: ConnectionEvent, its counters (node_connections{event=...}) and a log line of each event at most once a second (LogThrottle, which InputOverflowLog uses too).

--- a/node/src/main/java/loadbalancer/admin/Metrics.java
+++ b/node/src/main/java/loadbalancer/admin/Metrics.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import loadbalancer.common.ConnectionCounters;
 import loadbalancer.policy.RequestClass;
 
 /**
@@ -25,6 +26,7 @@
     /** Counts by class name and outcome. A class that is no longer configured keeps its counts. */
     private final Map<String, long[]> finishedRequests = new LinkedHashMap<>();
 
+    private final ConnectionCounters connections = new ConnectionCounters();
     private long attempts;
     private long unconfirmedAttempts;
     private long configLoads;
@@ -52,6 +54,11 @@
         unconfirmedAttempts++;
     }
 
+    /** Returns the counters of what the node does with connections of clients by itself. */
+    public ConnectionCounters connections() {
+        return connections;
+    }
+
     /** Counts a configuration file that has been applied by a reload. */
     public void onConfigLoaded() {
         configLoads++;
--- a/node/src/main/java/loadbalancer/admin/MetricsRenderer.java
+++ b/node/src/main/java/loadbalancer/admin/MetricsRenderer.java
@@ -1,5 +1,7 @@
 package loadbalancer.admin;
 
+import loadbalancer.common.ConnectionEvent;
+
 /** Renders the metrics of a node as text, one per line: a name, optional labels in braces, and a value. */
 public final class MetricsRenderer {
     private static final String PREFIX = "node_";
@@ -13,6 +15,8 @@
     private static final String EXCLUDED_SERVERS = "skipped_app_servers";
     private static final String CONFIG_LOADS = "loads";
     private static final String CONFIG_ERRORS = "load_errors";
+    private static final String CONNECTIONS = "connections";
+    private static final String EVENT_LABEL = "event";
 
     private MetricsRenderer() {}
 
@@ -33,6 +37,10 @@
         appendLine(text, EXCLUDED_SERVERS, gauges.excludedServers());
         appendLine(text, CONFIG_LOADS, metrics.configLoads());
         appendLine(text, CONFIG_ERRORS, metrics.configErrors());
+        for (ConnectionEvent event : ConnectionEvent.values()) {
+            String name = CONNECTIONS + "{" + label(EVENT_LABEL, event.label()) + "}";
+            appendLine(text, name, metrics.connections().count(event));
+        }
         return text.toString();
     }
 
--- a/node/src/main/java/loadbalancer/client/ClientConnection.java
+++ b/node/src/main/java/loadbalancer/client/ClientConnection.java
@@ -20,7 +20,7 @@
  * The last handler in the pipeline of a client's connection. It serves one request at a time and queues pipelined ones.
  *
  * <p>{@link RequestAssembler} reads requests, {@link ResponseWriter} writes responses, and {@link ConnectionTimeouts}
- * detects slow clients; they share the {@link ConnectionState}. {@link LingeringClose} closes the connection. The
+ * detects slow clients; they share the {@link ConnectionState}. {@link ConnectionCloser} closes the connection. The
  * handler of a request sends exactly one response: by {@link #sendResponse}, or by {@link #startResponse} followed by
  * {@link #endResponse} or {@link #abortResponse}.
  *
@@ -43,9 +43,8 @@
     private final TurnQuota turnQuota;
     private final RequestAssembler assembler;
     private final ResponseWriter writer;
-    private final ConnectionTimeouts timeouts;
-    private final LingeringClose lingeringClose;
     private final ClientPresence presence;
+    private final ConnectionCloser closer;
 
     ClientConnection(SocketChannel channel, ClientConnectionOwner owner) {
         this.channel = channel;
@@ -57,21 +56,9 @@
         turnQuota = new TurnQuota(owner.lagMeter(), MAX_REQUESTS_PER_TURN);
         assembler = new RequestAssembler(channel, readAhead, state, pipelined, owner, new AssemblerListener());
         writer = new ResponseWriter(channel, state, written -> onResponseWritten());
-        timeouts = new ConnectionTimeouts(state, assembler, writer);
-        lingeringClose = new LingeringClose(channel);
         presence = new ClientPresence(channel, readAhead, owner.readAheadBudget());
-    }
-
-    /**
-     * Returns whether the connection is open and has no request, neither in service nor pipelined. A closed connection
-     * is not idle: closing it again would free no further socket.
-     */
-    boolean isIdle() {
-        return !state.isServing() && !hasPipelinedInput() && channel.isOpen();
-    }
-
-    private boolean hasPipelinedInput() {
-        return !pipelined.isEmpty() || !readAhead.isEmpty();
+        ConnectionTimeouts timeouts = new ConnectionTimeouts(state, assembler, writer);
+        closer = new ConnectionCloser(channel, state, codec, pipelined, readAhead, presence, timeouts);
     }
 
     /** Adds the handlers of this connection to the pipeline of its channel. */
@@ -104,28 +91,9 @@
         }
     }
 
-    /** Returns whether the connection is idle and not even a part of a request has arrived. */
-    boolean isQuiescent() {
-        return isIdle() && !codec.isMessageInProgress();
-    }
-
-    /** Returns whether one of the timeouts for an inactive or slow client has passed. */
-    boolean isOverdue(long nowNanos) {
-        return timeouts.isOverdue(nowNanos, presence.isResponseDue());
-    }
-
-    /** Closes the connection immediately; responses that are still in transit may be lost. */
-    void close() {
-        channel.close();
-    }
-
-    /** Closes the connection gracefully: pipelined requests are dropped, responses in transit still arrive. */
-    void shutDown() {
-        state.disableKeepAlive();
-        lingeringClose.start(() -> {
-            pipelined.release();
-            readAhead.discardAndResume();
-        });
+    /** Returns what closes this connection when the node decides so. */
+    ConnectionCloser closer() {
+        return closer;
     }
 
     /** Returns what tells whether the client of the open request is still there. */
@@ -265,7 +233,7 @@
         assembler.stopStreaming();
         state.touch();
         // Pipelined requests have already been accepted: a draining node serves them before it closes the connection.
-        boolean nextArrived = !state.isReceiving() && hasPipelinedInput();
+        boolean nextArrived = !state.isReceiving() && closer.hasPipelinedInput();
         boolean last = !state.isKeepAlive() || owner.isDraining() && !nextArrived;
         if (last) {
             writer.markLast(response);
@@ -286,8 +254,8 @@
             return;
         }
         assembler.clearHead();
-        if (!state.isKeepAlive() || isQuiescent() && !owner.keepsQuiescentConnections()) {
-            shutDown();
+        if (!state.isKeepAlive() || closer.isQuiescent() && !owner.keepsQuiescentConnections()) {
+            closer.shutDown();
         } else if (!pipelined.isEmpty()) {
             // In the next turn of the event loop, so that one connection does not keep others from being read.
             channel.eventLoop().schedule(this::servePipelined, 0, TimeUnit.NANOSECONDS);
@@ -330,7 +298,7 @@
         state.connectionClosed();
         assembler.discardBuffered();
         pipelined.release();
-        lingeringClose.cancel();
+        closer.onClosed();
         presence.notifyIfClosed();
         owner.onClosed(this);
     }
--- a/node/src/main/java/loadbalancer/client/ClientServer.java
+++ b/node/src/main/java/loadbalancer/client/ClientServer.java
@@ -15,6 +15,8 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import loadbalancer.common.ConnectionCounters;
+import loadbalancer.common.ConnectionEvent;
 import loadbalancer.common.SocketBudget;
 import loadbalancer.eventloop.LoopLagMeter;
 import loadbalancer.eventloop.MeasuredEventLoop;
@@ -58,6 +60,7 @@
 
     private final TurnQuota rejectionQuota;
     private final InputOverflowLog overflows = new InputOverflowLog();
+    private final ConnectionLog connectionLog;
 
     private Channel listeningChannel;
     /** Whether the listening socket is inherited, so that another process of this node may accept on it too. */
@@ -72,11 +75,17 @@
     private Runnable onDrained = () -> {};
 
     /** Creates a server that accepts nothing until {@link #listen}. */
-    public ClientServer(MeasuredEventLoop loop, RequestReader reader, SocketBudget sockets, RequestHandler handler) {
+    public ClientServer(
+            MeasuredEventLoop loop,
+            RequestReader reader,
+            SocketBudget sockets,
+            ConnectionCounters counters,
+            RequestHandler handler) {
         this.loop = loop;
         this.reader = reader;
         this.sockets = sockets;
         this.handler = handler;
+        connectionLog = new ConnectionLog(counters);
         rejectionQuota = new TurnQuota(loop.lagMeter(), MAX_REJECTIONS_PER_TURN);
     }
 
@@ -130,6 +139,7 @@
         channel.closeFuture().addListener(done -> sockets.clientClosed());
         if (!sockets.hasRoomForClient() && !closeOldestIdle()) {
             // No connection is idle: one more would take file descriptors that the open requests need.
+            connectionLog.onNotAccepted(ConnectionEvent.REFUSED, clients.size(), null);
             channel.close();
             return;
         }
@@ -140,8 +150,9 @@
 
     private boolean closeOldestIdle() {
         for (ClientConnection client : clients) {
-            if (client.isIdle()) {
-                client.close();
+            if (client.closer().isIdle()) {
+                connectionLog.onEnd(ConnectionEvent.EVICTED, client.closer(), clients.size());
+                client.closer().close();
                 return true;
             }
         }
@@ -154,8 +165,9 @@
     public void closeExpired() {
         long nowNanos = System.nanoTime();
         for (ClientConnection client : new ArrayList<>(clients)) {
-            if (client.isOverdue(nowNanos)) {
-                client.close();
+            if (client.closer().isOverdue(nowNanos)) {
+                connectionLog.onEnd(ConnectionEvent.TIMED_OUT, client.closer(), clients.size());
+                client.closer().close();
             }
         }
     }
@@ -185,7 +197,12 @@
      */
     private void shutDownQuiescent() {
         closingQuiescent = true;
-        new ArrayList<>(clients).stream().filter(ClientConnection::isQuiescent).forEach(ClientConnection::shutDown);
+        for (ClientConnection client : new ArrayList<>(clients)) {
+            if (client.closer().isQuiescent()) {
+                connectionLog.onEnd(ConnectionEvent.SHUT_DOWN, client.closer(), clients.size());
+                client.closer().shutDown();
+            }
+        }
     }
 
     /**
@@ -213,7 +230,7 @@
     /** Closes the listening socket and all connections immediately. */
     public void close() {
         listeningChannel.close();
-        new ArrayList<>(clients).forEach(ClientConnection::close);
+        new ArrayList<>(clients).forEach(client -> client.closer().close());
     }
 
     private void notifyIfDrained() {
--- a/node/src/main/java/loadbalancer/client/InputOverflowLog.java
+++ b/node/src/main/java/loadbalancer/client/InputOverflowLog.java
@@ -1,17 +1,11 @@
 package loadbalancer.client;
 
-import java.util.concurrent.TimeUnit;
 import loadbalancer.common.Log;
+import loadbalancer.common.LogThrottle;
 
-/**
- * Logs that input is dropped and its requests are rejected. At most one line a second, which tells how many connections
- * have had this since the line before: a crowd would otherwise use up the lines of the log. Not thread-safe.
- */
+/** Logs that input is dropped and its requests are rejected, at most one line a second. Not thread-safe. */
 final class InputOverflowLog {
-    private static final long INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
-
-    private long loggedAtNanos = System.nanoTime() - INTERVAL_NANOS;
-    private long connections;
+    private final LogThrottle throttle = new LogThrottle(System::nanoTime);
 
     /**
      * Records an overflow.
@@ -20,20 +14,16 @@
      * @param heldByAllBytes the input that all connections hold undecoded
      */
     void record(long heldBytes, long heldByAllBytes) {
-        connections++;
-        long nowNanos = System.nanoTime();
-        if (nowNanos - loggedAtNanos < INTERVAL_NANOS) {
-            return;
+        long connections = throttle.record();
+        if (connections > 0) {
+            Log.warn(
+                    "input_rejected",
+                    "connections",
+                    connections,
+                    "held_bytes",
+                    heldBytes,
+                    "held_by_all_bytes",
+                    heldByAllBytes);
         }
-        Log.warn(
-                "input_rejected",
-                "connections",
-                connections,
-                "held_bytes",
-                heldBytes,
-                "held_by_all_bytes",
-                heldByAllBytes);
-        loggedAtNanos = nowNanos;
-        connections = 0;
     }
 }
--- a/node/src/main/java/loadbalancer/process/Node.java
+++ b/node/src/main/java/loadbalancer/process/Node.java
@@ -74,7 +74,7 @@
         RequestServices services = new RequestServices(
                 loop, clock, pool, metrics, config.settings().reportFields, events, new HashSet<>());
         RequestTable requests = new RequestTable(services, this::currentClasses);
-        clients = new ClientServer(loop, new RequestReader(classes), sockets, requests);
+        clients = new ClientServer(loop, new RequestReader(classes), sockets, metrics.connections(), requests);
         serverList = new ServerListUpdater(
                 services, new CordonStore(hasControl ? config.operations().sharedFolder() : null));
         discovery = new EndpointWatcher(loop, config.watchConfig(), WatchTimeouts.DEFAULT, serverList);
--- a/node/src/test/java/loadbalancer/admin/MetricsTest.java
+++ b/node/src/test/java/loadbalancer/admin/MetricsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.List;
+import loadbalancer.common.ConnectionEvent;
 import loadbalancer.policy.DeduplicationScope;
 import loadbalancer.policy.Idempotency;
 import loadbalancer.policy.RequestClass;
@@ -28,6 +29,8 @@
         metrics.onConfigLoaded();
         metrics.onConfigLoaded();
         metrics.onConfigRejected();
+        metrics.connections().increment(ConnectionEvent.TIMED_OUT);
+        metrics.connections().increment(ConnectionEvent.TIMED_OUT);
         // A class keeps its counts when the configuration is reloaded.
         metrics.register(List.of(requestClass("page"), requestClass("new")));
         assertEquals("""
@@ -47,6 +50,12 @@
                 node_skipped_app_servers 3
                 node_loads 2
                 node_load_errors 1
+                node_connections{event="evicted"} 0
+                node_connections{event="refused"} 0
+                node_connections{event="timed_out"} 2
+                node_connections{event="shut_down"} 0
+                node_connections{event="accept_paused"} 0
+                node_connections{event="accept_failed"} 0
                 """, MetricsRenderer.render(metrics, new Metrics.Gauges(7, 5, 3)));
     }
 }
