--- a/node/src/test/java/loadbalancer/eventloop/MeasuredEventLoopTest.java
+++ b/node/src/test/java/loadbalancer/eventloop/MeasuredEventLoopTest.java
@@ -2,12 +2,20 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.IoEvent;
+import io.netty.channel.IoRegistration;
+import io.netty.channel.nio.NioIoHandle;
+import io.netty.channel.nio.NioIoOps;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.Pipe;
+import java.nio.channels.SelectableChannel;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-/** How the event loop waits for its timers. */
+/** How the event loop waits for its timers, and what it survives. */
 class MeasuredEventLoopTest {
     private static final int TIMERS = 200;
     /** With rounding to the nearest millisecond, a poll would end 0.4 ms before the timer. */
@@ -38,4 +46,54 @@
             loop.schedule(() -> runTimer(remainingTimers), DELAY_US, TimeUnit.MICROSECONDS);
         }
     }
+
+    /** A handle of a pipe whose reading end can be read; each event throws an error. */
+    private static final class FailingHandle implements NioIoHandle {
+        private final Pipe.SourceChannel source;
+        private final CountDownLatch closed = new CountDownLatch(1);
+
+        FailingHandle(Pipe.SourceChannel source) {
+            this.source = source;
+        }
+
+        @Override
+        public SelectableChannel selectableChannel() {
+            return source;
+        }
+
+        @Override
+        public void handle(IoRegistration registration, IoEvent event) {
+            throw new NoClassDefFoundError("thrown by the test");
+        }
+
+        @Override
+        public void registered() {}
+
+        @Override
+        public void unregistered() {}
+
+        @Override
+        public void close() throws IOException {
+            source.close();
+            closed.countDown();
+        }
+    }
+
+    /**
+     * Guards against a loop whose thread ends because the handling of one event has thrown an error, as where a class
+     * cannot be loaded. The channel of the event is closed and all others go on.
+     */
+    @Test
+    void errorInTheHandlingOfAnEventClosesItsChannelOnly() throws Exception {
+        Pipe pipe = Pipe.open();
+        pipe.source().configureBlocking(false);
+        FailingHandle handle = new FailingHandle(pipe.source());
+        loop.submit(() -> loop.register(handle)
+                        .addListener(registered -> ((IoRegistration) registered.getNow()).submit(NioIoOps.READ)))
+                .sync();
+        pipe.sink().write(ByteBuffer.wrap(new byte[1]));
+        assertTrue(handle.closed.await(20, TimeUnit.SECONDS), "the channel of the event is closed");
+        assertTrue(loop.submit(() -> true).get(20, TimeUnit.SECONDS), "the loop runs tasks");
+        pipe.sink().close();
+    }
 }
--- a/node/src/test/java/loadbalancer/process/NodeHarness.java
+++ b/node/src/test/java/loadbalancer/process/NodeHarness.java
@@ -3,10 +3,16 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -252,6 +258,36 @@
         return release;
     }
 
+    /**
+     * Blocks the event loop while it handles the events of a poll, until the returned latch is counted down, for 20 s
+     * at most. The loop then runs the timers that are due before it polls again.
+     */
+    CountDownLatch blockEventHandling() throws Exception {
+        CountDownLatch blocked = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            new Bootstrap()
+                    .group(loop)
+                    .channel(NioSocketChannel.class)
+                    .handler(new ChannelInboundHandlerAdapter() {
+                        @Override
+                        public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+                            ReferenceCountUtil.release(message);
+                            blocked.countDown();
+                            release.await(20, TimeUnit.SECONDS);
+                            context.close();
+                        }
+                    })
+                    .connect(listener.getLocalSocketAddress())
+                    .sync();
+            Socket peer = listener.accept();
+            clients.add(peer);
+            peer.getOutputStream().write(0);
+        }
+        blocked.await();
+        return release;
+    }
+
     /** Waits until the loop has run all tasks that are queued now. */
     void awaitEventLoop() throws InterruptedException {
         loop.submit(() -> {}).sync();
--- a/node/src/test/java/loadbalancer/process/NodeProgram.java
+++ b/node/src/test/java/loadbalancer/process/NodeProgram.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -51,6 +52,20 @@
             return socket;
         }
 
+        /** Sends a signal, such as STOP. */
+        void signal(String name) throws Exception {
+            Process kill = new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid()).start();
+            assertEquals(0, kill.waitFor(), "exit code of kill");
+        }
+
+        /** Fails with the end of the log if the process has ended. */
+        void assertAlive() throws IOException {
+            if (!process.isAlive()) {
+                String log = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+                throw new AssertionError("the process has ended with " + process.exitValue() + ": " + log);
+            }
+        }
+
         @Override
         public void close() {
             process.destroyForcibly();
@@ -67,23 +82,44 @@
      */
     static RunningNode startWithHeap(
             Path folder, int heapMb, int directMemoryMb, String discovery, List<String> servers) throws Exception {
+        List<String> command = command(
+                "-Xmx" + heapMb + "m",
+                "-XX:MaxDirectMemorySize=" + directMemoryMb + "m",
+                "-XX:+ExitOnOutOfMemoryError");
+        return startServing(command, configure(folder, 512, discovery, servers));
+    }
+
+    /**
+     * Starts a node under a limit of file descriptors that the system enforces, for requests as in {@link
+     * #startWithHeap}, and waits until it serves clients.
+     */
+    static RunningNode startWithDescriptors(Path folder, int descriptors, String discovery, List<String> servers)
+            throws Exception {
+        List<String> command =
+                new ArrayList<>(List.of("/bin/sh", "-c", "ulimit -n " + descriptors + " && exec \"$@\"", "sh"));
+        command.addAll(command("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
+        return startServing(command, configure(folder, descriptors, discovery, servers));
+    }
+
+    private static Path configure(Path folder, int sockets, String discovery, List<String> servers) throws IOException {
         String[] entries = new String[servers.size()];
         for (int i = 0; i < entries.length; i++) {
             entries[i] = "s" + i + "=" + servers.get(i) + "=Ready";
         }
-        Path config = Files.writeString(
-                folder.resolve("config.json"), """
-                {"listen":"127.0.0.1:0","discovery":"%s","seed":"1","limits":{"sockets":512},
+        return Files.writeString(folder.resolve("config.json"), """
+                {"listen":"127.0.0.1:0","discovery":"%s","seed":"1","limits":{"sockets":%d},
                  "known":%s,
                  "settings":{"zones":["here"],"limits":{"attemptsCap":4},
                  "classes":[{"name":"page","onTimeUs":60000000,"giveUpUs":60000000,"repeat":"safe"},
                   {"name":"order","onTimeUs":60000000,"giveUpUs":60000000,"repeat":"unsafe"}]}}
-                """.formatted(discovery, NodeHarness.endpointList(1, true, entries)));
-        Process program = start(
-                Map.of("PROXY_CONFIG", config.toString()),
-                "-Xmx" + heapMb + "m",
-                "-XX:MaxDirectMemorySize=" + directMemoryMb + "m",
-                "-XX:+ExitOnOutOfMemoryError");
+                """.formatted(
+                        discovery, sockets, NodeHarness.endpointList(1, true, entries)));
+    }
+
+    private static RunningNode startServing(List<String> command, Path config) throws Exception {
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+        builder.environment().put("PROXY_CONFIG", config.toString());
+        Process program = builder.start();
         try {
             String line = awaitLine(program, "level=info event=listening ");
             return new RunningNode(program, Integer.parseInt(line.substring(line.lastIndexOf(':') + 1)));
