Write what Netty logs to the node's log, which opens no file

Cause: Netty logs by java.util.logging, whose first line opens the file of the time zones. Without a descriptor that throws an Error, on the event loop and in its handler for failures, and ends its thread. Class of bug: a resource that is needed to report trouble is first taken in trouble. Change: NettyLog passes warnings and errors on to Log, which holds its stream from the start.

--- a/node/src/main/java/loadbalancer/process/ProcessLifecycle.java
+++ b/node/src/main/java/loadbalancer/process/ProcessLifecycle.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import loadbalancer.common.Log;
+import loadbalancer.common.NettyLog;
 import loadbalancer.config.ConfigException;
 import loadbalancer.config.NodeConfig;
 import loadbalancer.config.NodeConfigReader;
@@ -36,6 +37,7 @@
 
     /** Starts a node that this environment configures. Returns once the node listens; it runs until SIGTERM. */
     public static void run(Map<String, String> env) {
+        NettyLog.install();
         NodeConfig config;
         ServerSocketChannel inherited;
         try {
