Keep the event loop running when the handling of an event throws an error

Cause: an Error that leaves the handling of one event ends the thread of the loop, and with it every other connection; an exception makes Netty's loop rest for a second. Class of bug: a failure of one connection is not contained in it. Evidence: MeasuredEventLoopTest.errorInTheHandlingOfAnEventClosesItsChannelOnly failed before (the loop ended), passes now.

--- a/node/src/main/java/loadbalancer/eventloop/LoopLagMeter.java
+++ b/node/src/main/java/loadbalancer/eventloop/LoopLagMeter.java
@@ -42,6 +42,7 @@
     public record LoopActivity(long turns, long longestHandlingNanos, long longestTasksNanos) {}
 
     private final LongSupplier nanoTime;
+    private final LoopFailures failures = new LoopFailures();
     private IoHandler handler;
     private WholeMillisecondPollContext pollContext;
     /**
@@ -118,11 +119,22 @@
         if (pollContext == null || !pollContext.wraps(context)) {
             pollContext = new WholeMillisecondPollContext(context);
         }
-        int handled = handler.run(pollContext);
+        int handled = runTurn();
         endTurn(nanoTime.getAsLong());
         return handled;
     }
 
+    private int runTurn() {
+        try {
+            int handled = handler.run(pollContext);
+            failures.onTurnCompleted();
+            return handled;
+        } catch (RuntimeException | Error e) {
+            failures.onTurnFailed(e);
+            return 0;
+        }
+    }
+
     private void beginTurn(long nowNanos) {
         turnNumber++;
         longestTasksNanos = Math.max(longestTasksNanos, nowNanos - turnEndedAtNanos);
@@ -209,7 +221,11 @@
         @Override
         public void handle(IoRegistration registration, IoEvent event) {
             onEventHandled();
-            handle.handle(registration, event);
+            try {
+                handle.handle(registration, event);
+            } catch (RuntimeException | Error e) {
+                failures.onEventFailed(handle, e);
+            }
         }
 
         @Override
--- a/node/src/main/java/loadbalancer/eventloop/package-info.java
+++ b/node/src/main/java/loadbalancer/eventloop/package-info.java
@@ -3,6 +3,7 @@
  *
  * <p>An event loop stall is a time in which the loop polls no sockets, either because one of its tasks takes long or
  * because its thread does not get processor time. This package defines how the loop waits for I/O and timers, and what
- * is measured of stalls. It does not depend on the code that runs on the loop.
+ * is measured of stalls, and keeps the loop running when a part of a turn throws. Of the program it uses the log only,
+ * not the code that runs on the loop.
  */
 package loadbalancer.eventloop;
