Exit with 70 when the event loop ends, also in the middle of a drain

Cause: nothing watched the loop. Its thread was the only one that kept the JVM alive, and the shutdown hook asked it without looking. Change: the main thread waits for the end of the loop and exits with 70 (EX_SOFTWARE); the drain ends with it too.

--- a/node/src/main/java/loadbalancer/process/ProcessLifecycle.java
+++ b/node/src/main/java/loadbalancer/process/ProcessLifecycle.java
@@ -5,6 +5,8 @@
 import java.nio.channels.ServerSocketChannel;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
 import loadbalancer.common.Log;
 import loadbalancer.common.NettyLog;
 import loadbalancer.config.ConfigException;
@@ -20,22 +22,28 @@
  * <p>SIGHUP reloads the configuration ({@link ReloadSignal}). Once the node listens, SIGTERM runs a shutdown hook that
  * waits until the node has drained ({@link GracefulShutdown}). The process then exits with 143, the JVM's exit code for
  * SIGTERM. If the configuration is invalid or an address cannot be listened on, the process writes one line to standard
- * error and exits with {@value #EXIT_CANNOT_START}.
+ * error and exits with {@value #EXIT_CANNOT_START}. If the event loop ends, which is a defect, it exits with {@value
+ * #EXIT_LOOP_ENDED}.
  */
 public final class ProcessLifecycle {
     /** The configuration is invalid, or an address cannot be listened on. */
     private static final int EXIT_CANNOT_START = 2;
+    /** The event loop has ended by itself, so that nothing can be served any more: an internal software error. */
+    static final int EXIT_LOOP_ENDED = 70;
+
+    private static final long LOOP_POLL_MILLIS = 100;
 
     private final NodeConfig config;
-    private final MeasuredEventLoop loop = new MeasuredEventLoop("node", false);
+    private final MeasuredEventLoop loop;
     private final Node node;
 
-    private ProcessLifecycle(NodeConfig config) {
+    ProcessLifecycle(NodeConfig config, MeasuredEventLoop loop) {
         this.config = config;
+        this.loop = loop;
         node = new Node(config, loop);
     }
 
-    /** Starts a node that this environment configures. Returns once the node listens; it runs until SIGTERM. */
+    /** Runs a node that this environment configures. Does not return: the process ends at SIGTERM. */
     public static void run(Map<String, String> env) {
         NettyLog.install();
         NodeConfig config;
@@ -47,14 +55,16 @@
             exitCannotStart(e.getMessage());
             return;
         }
-        new ProcessLifecycle(config).start(env, inherited);
+        ProcessLifecycle process = new ProcessLifecycle(config, new MeasuredEventLoop("node", false));
+        process.start(env, inherited);
+        process.awaitEndOfLoop();
     }
 
     /**
      * Starts the parts in order. The node follows the endpoint list from before the warm-up: the warm-up takes longer
      * than discovery needs to respond, so the list is normally current when the node listens.
      */
-    private void start(Map<String, String> env, ServerSocketChannel inherited) {
+    void start(Map<String, String> env, ServerSocketChannel inherited) {
         ReloadSignal.handle(() -> node.reload(env));
         Runnable leaveMembership = joinMembership();
         startControl();
@@ -98,6 +108,16 @@
         Runtime.getRuntime().addShutdownHook(new Thread(() -> leaveAndDrain(leaveMembership), "drain"));
     }
 
+    /**
+     * Waits on the main thread for the end of the event loop. Without it the process would end with exit code 0, since
+     * no other thread keeps it running.
+     */
+    void awaitEndOfLoop() {
+        loop.terminationFuture().awaitUninterruptibly();
+        Log.warn("event_loop_ended", "exit_code", EXIT_LOOP_ENDED);
+        System.exit(EXIT_LOOP_ENDED);
+    }
+
     /** Leaves the membership first, because the next process of the node waits for the membership address. */
     private void leaveAndDrain(Runnable leaveMembership) {
         long signalledAtNanos = System.nanoTime();
@@ -105,9 +125,24 @@
             leaveMembership.run();
         }
         CountDownLatch drained = new CountDownLatch(1);
-        node.drain(signalledAtNanos, drained::countDown);
         try {
-            drained.await();
+            node.drain(signalledAtNanos, drained::countDown);
+            awaitDrained(drained);
+        } catch (RejectedExecutionException e) {
+            Log.warn("drain_impossible", "reason", "the event loop has ended");
+        }
+        if (loop.isTerminated()) {
+            Runtime.getRuntime().halt(EXIT_LOOP_ENDED);
+        }
+    }
+
+    private void awaitDrained(CountDownLatch drained) {
+        try {
+            while (!drained.await(LOOP_POLL_MILLIS, TimeUnit.MILLISECONDS)) {
+                if (loop.isTerminated()) {
+                    return;
+                }
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/node/src/test/java/loadbalancer/process/NodeProgram.java
+++ b/node/src/test/java/loadbalancer/process/NodeProgram.java
@@ -30,10 +30,16 @@
 
     /** Returns the command that runs a node with these JVM options. */
     static List<String> command(String... jvmOptions) {
+        List<String> command = javaCommand(jvmOptions);
+        command.addAll(List.of(Main.class.getName(), "node"));
+        return command;
+    }
+
+    private static List<String> javaCommand(String... jvmOptions) {
         List<String> command = new ArrayList<>();
         command.add(ProcessHandle.current().info().command().orElseThrow());
         command.addAll(List.of(jvmOptions));
-        command.addAll(List.of("-cp", System.getProperty("java.class.path"), Main.class.getName(), "node"));
+        command.addAll(List.of("-cp", System.getProperty("java.class.path")));
         return command;
     }
 
@@ -101,6 +107,13 @@
         return startServing(command, configure(folder, descriptors, discovery, servers));
     }
 
+    /** Starts a main class of the tests that runs a node, and waits until the node serves clients. */
+    static RunningNode startProgram(Path folder, Class<?> mainClass, String argument) throws Exception {
+        List<String> command = javaCommand();
+        command.addAll(List.of(mainClass.getName(), argument));
+        return startServing(command, configure(folder, 512, "127.0.0.1:9", List.of("127.0.0.1:9")));
+    }
+
     private static Path configure(Path folder, int sockets, String discovery, List<String> servers) throws IOException {
         String[] entries = new String[servers.size()];
         for (int i = 0; i < entries.length; i++) {
