Accept a client's connection only once there is a descriptor for it

Cause: SocketBudget was asked after the accept had taken a descriptor, for up to 1,024 connections in a turn; and a closed socket counted as free at once, while the JDK keeps its descriptor until the selector polls again. What had not been read of a connection counted as not sent. A failed accept made Netty's acceptor rest for a second. A failed socket() towards a server was counted as open for good. Class of bug: a resource is taken first and asked for afterwards. Change: AdmittingServerChannel asks ClientAcceptor before each accept. Without room, idle connections are closed, after all that has arrived on them is read (ConnectionCloser.holdsAfterReading); where none is idle, connections wait in the listen queue. SocketBudget counts a closed socket until the next poll, and ServerPool dials only with room. A connection that may have waited in the queue carries the earliest time at which it was opened, so that the age of its request and a client that has left count from then (ArrivalEstimator, as for bytes in a socket). An accept that fails is tried again in the next turn, from the second failure in a row on after 5 ms. A client that has just connected has 10 ms for its first request before its connection may make room.

--- a/node/src/main/java/loadbalancer/client/ClientConnection.java
+++ b/node/src/main/java/loadbalancer/client/ClientConnection.java
@@ -39,6 +39,7 @@
     private final StrictServerCodec codec;
     private final ConnectionState state = new ConnectionState();
     private final PipelinedMessages pipelined;
+    private final EarliestArrival earliestArrival;
     private final ReadAheadHandler readAhead;
     private final TurnQuota turnQuota;
     private final RequestAssembler assembler;
@@ -46,19 +47,20 @@
     private final ClientPresence presence;
     private final ConnectionCloser closer;
 
-    ClientConnection(SocketChannel channel, ClientConnectionOwner owner) {
+    /** @param openedAtNanos the earliest time at which the client may have opened the connection */
+    ClientConnection(SocketChannel channel, ClientConnectionOwner owner, long openedAtNanos) {
         this.channel = channel;
         this.owner = owner;
         pipelined = new PipelinedMessages(request -> owner.reader().classIndexOf(request));
-        readAhead = new ReadAheadHandler(
-                owner.readAheadBudget(), new Input(), owner.lagMeter(), new EarliestArrival(owner.lagMeter()));
+        earliestArrival = new EarliestArrival(owner.lagMeter(), openedAtNanos);
+        readAhead = new ReadAheadHandler(owner.readAheadBudget(), new Input(), owner.lagMeter(), earliestArrival);
         codec = new StrictServerCodec(readAhead::isPaused);
         turnQuota = new TurnQuota(owner.lagMeter(), MAX_REQUESTS_PER_TURN);
         assembler = new RequestAssembler(channel, readAhead, state, pipelined, owner, new AssemblerListener());
         writer = new ResponseWriter(channel, state, written -> onResponseWritten());
         presence = new ClientPresence(channel, readAhead, owner.readAheadBudget());
         ConnectionTimeouts timeouts = new ConnectionTimeouts(state, assembler, writer);
-        closer = new ConnectionCloser(channel, state, codec, pipelined, readAhead, presence, timeouts);
+        closer = new ConnectionCloser(channel, state, codec, pipelined, readAhead, earliestArrival, presence, timeouts);
     }
 
     /** Adds the handlers of this connection to the pipeline of its channel. */
@@ -87,6 +89,7 @@
 
         @Override
         public void onInputCaughtUp() {
+            earliestArrival.onInputCaughtUp();
             pipelined.stopRejecting();
         }
     }
@@ -254,8 +257,10 @@
             return;
         }
         assembler.clearHead();
-        if (!state.isKeepAlive() || closer.isQuiescent() && !owner.keepsQuiescentConnections()) {
+        if (!state.isKeepAlive()) {
             closer.shutDown();
+        } else if (closer.isQuiescent()) {
+            owner.onQuiescent(this);
         } else if (!pipelined.isEmpty()) {
             // In the next turn of the event loop, so that one connection does not keep others from being read.
             channel.eventLoop().schedule(this::servePipelined, 0, TimeUnit.NANOSECONDS);
--- a/node/src/main/java/loadbalancer/client/ClientConnectionOwner.java
+++ b/node/src/main/java/loadbalancer/client/ClientConnectionOwner.java
@@ -20,9 +20,6 @@
     /** Returns whether the server drains: responses close their connections unless requests are pipelined. */
     boolean isDraining();
 
-    /** Returns whether a connection may stay open although no part of a request has arrived on it. */
-    boolean keepsQuiescentConnections();
-
     /** Returns the status of the response to a readiness check. */
     HttpResponseStatus readiness();
 
@@ -42,6 +39,9 @@
     /** A pipelined request that was dropped is rejected; its class is {@link RejectedRequests#NO_CLASS} if invalid. */
     void onRequestRejected(int classIndex);
 
+    /** The connection stays open, and no part of another request has been read from it. */
+    void onQuiescent(ClientConnection client);
+
     /** Called when the connection has closed. */
     void onClosed(ClientConnection client);
 }
--- a/node/src/main/java/loadbalancer/client/ClientServer.java
+++ b/node/src/main/java/loadbalancer/client/ClientServer.java
@@ -5,21 +5,24 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ServerChannel;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
-import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 import loadbalancer.common.ConnectionCounters;
 import loadbalancer.common.ConnectionEvent;
 import loadbalancer.common.SocketBudget;
 import loadbalancer.eventloop.LoopLagMeter;
 import loadbalancer.eventloop.MeasuredEventLoop;
+import loadbalancer.net.AdmittingServerChannel;
 import loadbalancer.transfer.TransferLimits;
 
 /**
@@ -45,6 +48,8 @@
     }
 
     private static final int ACCEPT_BACKLOG = 1_024;
+    /** The longest queue that Linux allows by default, for a socket that another program has opened. */
+    private static final int INHERITED_BACKLOG = 4_096;
 
     /** A few milliseconds of work. */
     private static final int MAX_REJECTIONS_PER_TURN = 512;
@@ -52,6 +57,7 @@
     private final MeasuredEventLoop loop;
     private RequestReader reader;
     private final SocketBudget sockets;
+    private final IntSupplier closeIdleServer;
     private final RequestHandler handler;
     /** All connections, least recently used first: by the start of their last request, or by their accept. */
     private final Set<ClientConnection> clients = new LinkedHashSet<>();
@@ -62,6 +68,7 @@
     private final InputOverflowLog overflows = new InputOverflowLog();
     private final ConnectionLog connectionLog;
 
+    private ClientAcceptor acceptor;
     private Channel listeningChannel;
     /** Whether the listening socket is inherited, so that another process of this node may accept on it too. */
     private boolean socketShared;
@@ -74,16 +81,22 @@
 
     private Runnable onDrained = () -> {};
 
-    /** Creates a server that accepts nothing until {@link #listen}. */
+    /**
+     * Creates a server that accepts nothing until {@link #listen}.
+     *
+     * @param closeIdleServer closes an idle connection to a server, to make room, and returns how many it has closed
+     */
     public ClientServer(
             MeasuredEventLoop loop,
             RequestReader reader,
             SocketBudget sockets,
+            IntSupplier closeIdleServer,
             ConnectionCounters counters,
             RequestHandler handler) {
         this.loop = loop;
         this.reader = reader;
         this.sockets = sockets;
+        this.closeIdleServer = closeIdleServer;
         this.handler = handler;
         connectionLog = new ConnectionLog(counters);
         rejectionQuota = new TurnQuota(loop.lagMeter(), MAX_REJECTIONS_PER_TURN);
@@ -96,10 +109,19 @@
      * @param inherited the socket to listen on, or null to open one
      */
     public ChannelFuture listen(InetSocketAddress address, ServerSocketChannel inherited) {
+        socketShared = inherited != null;
+        acceptor = new ClientAcceptor(
+                loop,
+                sockets,
+                connectionLog,
+                clients::size,
+                this::closeIdle,
+                closeIdleServer,
+                socketShared ? INHERITED_BACKLOG : ACCEPT_BACKLOG);
+        sockets.setCloseListener(acceptor::onRoomPossible);
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(loop)
-                .channelFactory(
-                        () -> inherited == null ? new NioServerSocketChannel() : new NioServerSocketChannel(inherited))
+                .channelFactory(() -> openListener(inherited))
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                 // Accepts all connections that wait in one turn. Otherwise those of a crowd would wait for many turns,
@@ -123,49 +145,54 @@
                         onAccepted(channel);
                     }
                 });
-        socketShared = inherited != null;
         ChannelFuture listenFuture = socketShared ? bootstrap.register() : bootstrap.bind(address);
         listeningChannel = listenFuture.channel();
         return listenFuture;
     }
 
+    private ServerChannel openListener(ServerSocketChannel inherited) {
+        AdmittingServerChannel channel = inherited == null
+                ? new AdmittingServerChannel(acceptor)
+                : new AdmittingServerChannel(inherited, acceptor);
+        acceptor.setListener(channel);
+        return channel;
+    }
+
     /** Sets the reader for the heads of requests that start from now on. */
     public void setRequestReader(RequestReader next) {
         reader = next;
     }
 
     private void onAccepted(SocketChannel channel) {
-        sockets.clientOpened();
-        channel.closeFuture().addListener(done -> sockets.clientClosed());
-        if (!sockets.hasRoomForClient() && !closeOldestIdle()) {
-            // No connection is idle: one more would take file descriptors that the open requests need.
-            connectionLog.onNotAccepted(ConnectionEvent.REFUSED, clients.size(), null);
-            channel.close();
-            return;
-        }
-        ClientConnection client = new ClientConnection(channel, this);
+        ClientConnection client = new ClientConnection(channel, this, ClientAcceptor.openedAtNanos(channel));
         clients.add(client);
         client.addHandlers();
     }
 
-    private boolean closeOldestIdle() {
-        for (ClientConnection client : clients) {
-            if (client.closer().isIdle()) {
+    /** Closes connections without a request, least recently used first. Returns how many have been closed. */
+    private int closeIdle(int count) {
+        int closed = closeOldest(count, closer -> closer.mayMakeRoom() && closer.isQuiescent());
+        return closed > 0 ? closed : closeOldest(1, ConnectionCloser::mayMakeRoom);
+    }
+
+    private int closeOldest(int count, Predicate<ConnectionCloser> closable) {
+        int closed = 0;
+        for (ClientConnection client : List.copyOf(clients)) {
+            if (closed < count && client.closer().holdsAfterReading(closable)) {
                 connectionLog.onEnd(ConnectionEvent.EVICTED, client.closer(), clients.size());
                 client.closer().close();
-                return true;
+                closed++;
             }
         }
-        return false;
+        return closed;
     }
 
     /**
      * Closes connections that have been idle, or stalled while receiving a request or sending a response, for too long.
      */
     public void closeExpired() {
-        long nowNanos = System.nanoTime();
-        for (ClientConnection client : new ArrayList<>(clients)) {
-            if (client.closer().isOverdue(nowNanos)) {
+        for (ClientConnection client : List.copyOf(clients)) {
+            if (client.closer().isOverdue(System.nanoTime())) {
                 connectionLog.onEnd(ConnectionEvent.TIMED_OUT, client.closer(), clients.size());
                 client.closer().close();
             }
@@ -186,7 +213,7 @@
         acceptingEnded = true;
         onDrained = drained;
         // Not closed: closing an inherited socket makes the JDK close the standard streams, which carry the log.
-        listeningChannel.config().setAutoRead(false);
+        acceptor.end();
         loop.schedule(this::shutDownQuiescent, idleMs, TimeUnit.MILLISECONDS);
         notifyIfDrained();
     }
@@ -197,11 +224,13 @@
      */
     private void shutDownQuiescent() {
         closingQuiescent = true;
-        for (ClientConnection client : new ArrayList<>(clients)) {
-            if (client.closer().isQuiescent()) {
-                connectionLog.onEnd(ConnectionEvent.SHUT_DOWN, client.closer(), clients.size());
-                client.closer().shutDown();
-            }
+        List.copyOf(clients).forEach(this::shutDownIfQuiescent);
+    }
+
+    private void shutDownIfQuiescent(ClientConnection client) {
+        if (client.closer().isQuiescent()) {
+            connectionLog.onEnd(ConnectionEvent.SHUT_DOWN, client.closer(), clients.size());
+            client.closer().shutDown();
         }
     }
 
@@ -217,20 +246,21 @@
     public void drain(long acceptMs, Runnable drained) {
         draining = true;
         onDrained = drained;
-        loop.schedule(
-                () -> listeningChannel.close().addListener(done -> {
-                    acceptingEnded = true;
-                    shutDownQuiescent();
-                    notifyIfDrained();
-                }),
-                acceptMs,
-                TimeUnit.MILLISECONDS);
+        loop.schedule(this::stopListening, acceptMs, TimeUnit.MILLISECONDS);
+    }
+
+    private void stopListening() {
+        listeningChannel.close().addListener(done -> {
+            acceptingEnded = true;
+            shutDownQuiescent();
+            notifyIfDrained();
+        });
     }
 
     /** Closes the listening socket and all connections immediately. */
     public void close() {
         listeningChannel.close();
-        new ArrayList<>(clients).forEach(client -> client.closer().close());
+        List.copyOf(clients).forEach(client -> client.closer().close());
     }
 
     private void notifyIfDrained() {
@@ -266,11 +296,6 @@
         return draining;
     }
 
-    @Override
-    public boolean keepsQuiescentConnections() {
-        return !closingQuiescent;
-    }
-
     @Override
     public HttpResponseStatus readiness() {
         return draining && !socketShared ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK;
@@ -299,6 +324,16 @@
         }
     }
 
+    @Override
+    public void onQuiescent(ClientConnection client) {
+        if (closingQuiescent) {
+            // In a task of its own, as what is read then may start another request.
+            loop.execute(() -> shutDownIfQuiescent(client));
+        } else {
+            acceptor.onRoomPossible();
+        }
+    }
+
     @Override
     public void onClosed(ClientConnection client) {
         clients.remove(client);
--- a/node/src/main/java/loadbalancer/client/ConnectionCloser.java
+++ b/node/src/main/java/loadbalancer/client/ConnectionCloser.java
@@ -1,18 +1,24 @@
 package loadbalancer.client;
 
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 /**
  * Closes a client's connection when the node decides so: to make room, after a timeout, or to shut down. All methods
  * are called on the event loop.
  */
 final class ConnectionCloser {
+    /** For how long a client that has connected may take to send something before its connection may make room. */
+    static final long FIRST_REQUEST_GRACE_MILLIS = 10;
+
     private final SocketChannel channel;
     private final ConnectionState state;
     private final StrictServerCodec codec;
     private final PipelinedMessages pipelined;
     private final ReadAheadHandler readAhead;
+    private final EarliestArrival earliestArrival;
     private final ClientPresence presence;
     private final ConnectionTimeouts timeouts;
     private final LingeringClose lingeringClose;
@@ -23,6 +29,7 @@
             StrictServerCodec codec,
             PipelinedMessages pipelined,
             ReadAheadHandler readAhead,
+            EarliestArrival earliestArrival,
             ClientPresence presence,
             ConnectionTimeouts timeouts) {
         this.channel = channel;
@@ -30,6 +37,7 @@
         this.codec = codec;
         this.pipelined = pipelined;
         this.readAhead = readAhead;
+        this.earliestArrival = earliestArrival;
         this.presence = presence;
         this.timeouts = timeouts;
         lingeringClose = new LingeringClose(channel);
@@ -53,11 +61,32 @@
         return isIdle() && !codec.isMessageInProgress();
     }
 
+    /** Returns whether the connection is idle and may be closed to make room for another one. */
+    boolean mayMakeRoom() {
+        return isIdle() && (state.isClientValidated() || inactiveMillis() >= FIRST_REQUEST_GRACE_MILLIS);
+    }
+
     /** Returns whether one of the timeouts for an inactive or slow client has passed. */
     boolean isOverdue(long nowNanos) {
         return timeouts.isOverdue(nowNanos, presence.isResponseDue());
     }
 
+    /**
+     * Returns whether a condition holds, also once everything has been read that has arrived: a request that has not
+     * been read has been sent nevertheless, and must not be lost by closing the connection.
+     */
+    boolean holdsAfterReading(Predicate<ConnectionCloser> condition) {
+        if (!condition.test(this)) {
+            return false;
+        }
+        if (channel.config().isAutoRead()) {
+            earliestArrival.setReadingBetweenPolls(true);
+            ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
+            earliestArrival.setReadingBetweenPolls(false);
+        }
+        return condition.test(this);
+    }
+
     /** Closes the connection immediately; responses that are still in transit may be lost. */
     void close() {
         channel.close();
--- a/node/src/main/java/loadbalancer/common/ConnectionEvent.java
+++ b/node/src/main/java/loadbalancer/common/ConnectionEvent.java
@@ -4,8 +4,6 @@
 public enum ConnectionEvent {
     /** A connection without a request was closed to make room for a new one. */
     EVICTED("evicted"),
-    /** A new connection was closed, because there was no room for it. */
-    REFUSED("refused"),
     /** A connection was closed because its client had been idle or slow for too long. */
     TIMED_OUT("timed_out"),
     /** A connection without a request was closed by a graceful shutdown. */
--- a/node/src/main/java/loadbalancer/common/SocketBudget.java
+++ b/node/src/main/java/loadbalancer/common/SocketBudget.java
@@ -1,11 +1,17 @@
 package loadbalancer.common;
 
+import java.util.function.LongSupplier;
+
 /**
- * Counts the open sockets of a node against the file descriptor limit of the process.
+ * Counts the open sockets of a node against the file descriptor limit of the process. Whoever opens a socket asks
+ * first.
  *
  * <p>Clients may use only a share of the descriptors. If many clients could take all of them, connections to servers
  * would fail, and no request could be served.
  *
+ * <p>A closed socket keeps its descriptor until the event loop polls again, because the JDK closes a registered socket
+ * only once its selector has let go of it. Until then it counts as closing, and takes its room still.
+ *
  * <p>Not thread-safe. Must be used on the node's event loop only.
  */
 public final class SocketBudget {
@@ -17,17 +23,33 @@
     private static final double MAX_CLIENT_SHARE = 0.6;
 
     private final int maxSockets;
+    private final LongSupplier turnNumber;
+    /** Including those that are closing. */
     private int openSockets;
+
     private int openClientSockets;
+    private int closingSockets;
+    private int closingClientSockets;
+    /** The turn of the event loop in which the closing sockets were closed. */
+    private long closedInTurn;
+
+    private Runnable onClosed = () -> {};
 
     /**
      * Creates a budget with no sockets open.
      *
      * @param descriptorLimit the file descriptor limit of the process
      * @param extraReservedDescriptors how many more descriptors to reserve than {@link #RESERVED_DESCRIPTORS}
+     * @param turnNumber the number of the event loop's turn, which grows with each poll
      */
-    public SocketBudget(int descriptorLimit, int extraReservedDescriptors) {
+    public SocketBudget(int descriptorLimit, int extraReservedDescriptors, LongSupplier turnNumber) {
         maxSockets = Math.max(MIN_SOCKETS, descriptorLimit - RESERVED_DESCRIPTORS - extraReservedDescriptors);
+        this.turnNumber = turnNumber;
+    }
+
+    /** Sets what is called when a socket has been closed. */
+    public void setCloseListener(Runnable listener) {
+        onClosed = listener;
     }
 
     /** Adds a connection to a server. */
@@ -37,7 +59,9 @@
 
     /** Removes a connection to a server. Must be called once for each {@link #serverOpened}. */
     public void serverClosed() {
-        openSockets--;
+        settle();
+        closingSockets++;
+        onClosed.run();
     }
 
     /** Adds a connection of a client. */
@@ -48,20 +72,45 @@
 
     /** Removes a connection of a client. Must be called once for each {@link #clientOpened}. */
     public void clientClosed() {
-        openSockets--;
-        openClientSockets--;
+        settle();
+        closingSockets++;
+        closingClientSockets++;
+        onClosed.run();
+    }
+
+    /** Frees the descriptors of the sockets that were closed before the last poll. */
+    private void settle() {
+        long turn = turnNumber.getAsLong();
+        if (turn != closedInTurn) {
+            openSockets -= closingSockets;
+            openClientSockets -= closingClientSockets;
+            closingSockets = 0;
+            closingClientSockets = 0;
+            closedInTurn = turn;
+        }
+    }
+
+    /** Returns whether descriptors of closed sockets become free at the next poll. */
+    public boolean isClosing() {
+        settle();
+        return closingSockets > 0;
     }
 
     /** Returns whether one more connection to a server may be opened. */
     public boolean hasRoomForServer() {
+        settle();
         return openSockets < maxSockets;
     }
 
-    /**
-     * Returns whether the client connections are within their share, and all connections below the limit. The new
-     * connection must already be added.
-     */
+    /** Returns whether one more client may connect: within the share of clients, and below the limit of all sockets. */
     public boolean hasRoomForClient() {
-        return openSockets < maxSockets && openClientSockets < MAX_CLIENT_SHARE * maxSockets;
+        settle();
+        return openSockets + 1 < maxSockets && isWithinClientShare();
+    }
+
+    /** Returns whether one more client would be within the share of clients. */
+    public boolean isWithinClientShare() {
+        settle();
+        return openClientSockets + 1 < MAX_CLIENT_SHARE * maxSockets;
     }
 }
--- a/node/src/main/java/loadbalancer/eventloop/LoopLagMeter.java
+++ b/node/src/main/java/loadbalancer/eventloop/LoopLagMeter.java
@@ -103,6 +103,16 @@
         return nowNanos - sinceNanos < MIN_LAG_NANOS ? nowNanos : sinceNanos;
     }
 
+    /**
+     * Returns the same for bytes that are read although no event has told of them: they may have arrived at any time
+     * since the last poll.
+     */
+    public long earliestArrivalSincePollNanos() {
+        long nowNanos = nanoTime.getAsLong();
+        long sinceNanos = nowNanos - polledAtNanos < MIN_LAG_NANOS ? nowNanos : polledAtNanos;
+        return Math.min(sinceNanos, earliestArrivalNanos());
+    }
+
     /** Returns the activity since the previous call, and starts a new period. */
     public LoopActivity takeLoopActivity() {
         LoopActivity activity =
--- a/node/src/main/java/loadbalancer/net/package-info.java
+++ b/node/src/main/java/loadbalancer/net/package-info.java
@@ -1,2 +1,2 @@
-/** Parsing and formatting of network addresses, without name lookups. Uses no other package of the node. */
+/** Network addresses, without name lookups, and listening sockets. Uses no other package of the node. */
 package loadbalancer.net;
--- a/node/src/main/java/loadbalancer/process/Node.java
+++ b/node/src/main/java/loadbalancer/process/Node.java
@@ -64,7 +64,10 @@
         this.config = config;
         this.loop = loop;
         boolean hasControl = config.operations().controlAddress() != null;
-        SocketBudget sockets = new SocketBudget(config.maxSockets(), hasControl ? ControlServer.MAX_SOCKETS : 0);
+        SocketBudget sockets = new SocketBudget(
+                config.maxSockets(),
+                hasControl ? ControlServer.MAX_SOCKETS : 0,
+                () -> loop.lagMeter().turnNumber());
         MonotonicWallClock clock = new MonotonicWallClock();
         Metrics metrics = new Metrics();
         metrics.register(config.settings().classes);
@@ -74,7 +77,8 @@
         RequestServices services = new RequestServices(
                 loop, clock, pool, metrics, config.settings().reportFields, events, new HashSet<>());
         RequestTable requests = new RequestTable(services, this::currentClasses);
-        clients = new ClientServer(loop, new RequestReader(classes), sockets, metrics.connections(), requests);
+        clients = new ClientServer(
+                loop, new RequestReader(classes), sockets, pool::closeOldestIdle, metrics.connections(), requests);
         serverList = new ServerListUpdater(
                 services, new CordonStore(hasControl ? config.operations().sharedFolder() : null));
         discovery = new EndpointWatcher(loop, config.watchConfig(), WatchTimeouts.DEFAULT, serverList);
--- a/node/src/main/java/loadbalancer/upstream/ServerPool.java
+++ b/node/src/main/java/loadbalancer/upstream/ServerPool.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import loadbalancer.common.MonotonicWallClock;
 import loadbalancer.common.SocketBudget;
 import loadbalancer.discovery.Endpoint;
@@ -52,7 +53,7 @@
         this.clock = clock;
         dialer = new Bootstrap()
                 .group(loop)
-                .channel(NioSocketChannel.class)
+                .channelFactory(this::openSocket)
                 .option(ChannelOption.ALLOCATOR, TransferLimits.ALLOCATOR)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.SO_SNDBUF, TransferLimits.UPSTREAM_SEND_BUFFER_BYTES)
@@ -78,6 +79,14 @@
         idleTimeoutUs = idleUs;
     }
 
+    /** Opens a socket and counts it until it is closed. If the system has none, nothing is counted. */
+    private NioSocketChannel openSocket() {
+        NioSocketChannel channel = new NioSocketChannel();
+        sockets.serverOpened();
+        channel.closeFuture().addListener(closed -> sockets.serverClosed());
+        return channel;
+    }
+
     // ---------------------------------------------------------------- servers
 
     /**
@@ -139,12 +148,18 @@
             idle.start(exchange);
             return;
         }
-        if (!sockets.hasRoomForServer() && !closeOldestIdle()) {
+        if (!hasRoomSoon()) {
             exchange.onEnded(AttemptResult.CONNECT_FAILED, HttpBodies.EMPTY);
             return;
         }
         server.enqueue(exchange);
-        dial(server);
+        server.dialStarted();
+        dialOnceThereIsRoom(server);
+    }
+
+    /** Returns whether another socket may be opened, now or after the next poll: for that, closes an idle one. */
+    private boolean hasRoomSoon() {
+        return sockets.hasRoomForServer() || sockets.isClosing() || closeOldestIdle() > 0;
     }
 
     /**
@@ -165,15 +180,29 @@
         return connection.isRequestWritten();
     }
 
+    private void dialOnceThereIsRoom(UpstreamServer server) {
+        if (sockets.hasRoomForServer()) {
+            dial(server);
+        } else if (hasRoomSoon()) {
+            loop.schedule(() -> dialOnceThereIsRoom(server), 0, TimeUnit.NANOSECONDS);
+        } else {
+            server.dialEnded();
+            server.failExcessWaiting();
+        }
+    }
+
     private void dial(UpstreamServer server) {
-        server.dialStarted();
-        sockets.serverOpened();
         InetSocketAddress address = server.address();
         ChannelFuture connectFuture = dialer.connect(address);
-        connectFuture.channel().closeFuture().addListener(closed -> sockets.serverClosed());
         // Handled in a task of its own: a dial that fails immediately would otherwise end the exchange within this
         // call.
-        connectFuture.addListener(done -> loop.execute(() -> onDialComplete(server, address, connectFuture)));
+        Runnable completion = () -> onDialComplete(server, address, connectFuture);
+        if (connectFuture.isDone()) {
+            // Without a socket there is no event loop that would notify a listener.
+            loop.execute(completion);
+        } else {
+            connectFuture.addListener(done -> loop.execute(completion));
+        }
     }
 
     private void onDialComplete(UpstreamServer server, InetSocketAddress address, ChannelFuture connectFuture) {
@@ -213,7 +242,8 @@
         }
     }
 
-    private boolean closeOldestIdle() {
+    /** Closes the connection that has been idle for longest. Returns how many have been closed: 1, or 0 if none is. */
+    public int closeOldestIdle() {
         ServerConnection oldest = null;
         for (UpstreamServer server : servers.values()) {
             ServerConnection last = server.oldestIdle();
@@ -224,6 +254,6 @@
         if (oldest != null) {
             oldest.close();
         }
-        return oldest != null;
+        return oldest == null ? 0 : 1;
     }
 }
