Read what has arrived on a connection before it is closed by a timeout or a drain

Cause: timers run between two polls. A request that had arrived since the last poll, during a stall in the handling of events, counted as not sent. Class of bug: a decision taken on the absence of a message that could not have been seen. Change: closeExpired and shutDownQuiescent read the connection first and decide again; the age of what is read so counts from the last poll.

--- a/node/src/main/java/loadbalancer/client/ClientServer.java
+++ b/node/src/main/java/loadbalancer/client/ClientServer.java
@@ -192,7 +192,7 @@
      */
     public void closeExpired() {
         for (ClientConnection client : List.copyOf(clients)) {
-            if (client.closer().isOverdue(System.nanoTime())) {
+            if (client.closer().holdsAfterReading(closer -> closer.isOverdue(System.nanoTime()))) {
                 connectionLog.onEnd(ConnectionEvent.TIMED_OUT, client.closer(), clients.size());
                 client.closer().close();
             }
@@ -228,7 +228,7 @@
     }
 
     private void shutDownIfQuiescent(ClientConnection client) {
-        if (client.closer().isQuiescent()) {
+        if (client.closer().holdsAfterReading(ConnectionCloser::isQuiescent)) {
             connectionLog.onEnd(ConnectionEvent.SHUT_DOWN, client.closer(), clients.size());
             client.closer().shutDown();
         }
