Accept what waits in the listen queue before a drain closes the listening socket

What callers saw (by the new test): a request on a connection that the system had accepted, and the node had not, was reset when a drain stopped to listen. Cause: closing a listening socket resets what waits in its queue; during a stall that may be several connections, and their requests count as taken.

--- a/node/src/main/java/loadbalancer/client/ClientServer.java
+++ b/node/src/main/java/loadbalancer/client/ClientServer.java
@@ -250,7 +250,8 @@
     }
 
     private void stopListening() {
-        listeningChannel.close().addListener(done -> {
+        shutDownQuiescent();
+        acceptor.closeListener(() -> {
             acceptingEnded = true;
             shutDownQuiescent();
             notifyIfDrained();
