Soak with enforced limits of descriptors, stopped processes, short deadlines and idle crowds

Reason: the soak had none of these, so that it could not show the incident. A process that ended was noticed only at the end of a run. The plans of the seeds without the flag are as before (faults are drawn from a stream of their own).

--- a/cli/src/main/java/loadbalancer/cli/FleetSoak.java
+++ b/cli/src/main/java/loadbalancer/cli/FleetSoak.java
@@ -40,6 +40,12 @@
             description = "How long clients send, for each seed; default ${DEFAULT-VALUE}.")
     private int seconds;
 
+    @Option(
+            names = "--node-faults",
+            description = "Also stops the processes, limits their descriptors, shortens deadlines, and sends idle"
+                    + " clients and bursts of new connections.")
+    private boolean nodeFaults;
+
     @Option(names = "--plan", description = "Prints what each seed does.")
     private boolean printPlan;
 
@@ -53,7 +59,8 @@
         DeployFile deploy = DeployFile.find(Path.of(""));
         boolean keepsRules = true;
         for (long next = seed; next < seed + seeds; next++) {
-            SoakPlan plan = SoakPlan.of(next, seconds * MILLIS_PER_SECOND);
+            int lengthMs = seconds * MILLIS_PER_SECOND;
+            SoakPlan plan = nodeFaults ? SoakPlan.withNodeFaults(next, lengthMs) : SoakPlan.of(next, lengthMs);
             if (printPlan) {
                 out.print(plan.describe());
             }
@@ -63,7 +70,8 @@
             report.violations().forEach(violation -> out.println("BROKEN " + violation));
             if (!report.violations().isEmpty()) {
                 keepsRules = false;
-                out.println("replay: lb fleet soak --seed " + next + " --seconds " + seconds + "; logs in " + folder);
+                out.println("replay: lb fleet soak --seed " + next + " --seconds " + seconds
+                        + (nodeFaults ? " --node-faults" : "") + "; logs in " + folder);
             }
             out.flush();
         }
--- a/harness/src/main/java/loadbalancer/harness/soak/CrowdClient.java
+++ b/harness/src/main/java/loadbalancer/harness/soak/CrowdClient.java
@@ -67,6 +67,10 @@
         }
     }
 
+    private RequestKind kind(int position) {
+        return platform.kind(crowd.kind(position));
+    }
+
     private String id(int position) {
         return String.format("%08x%08x", name.hashCode(), position);
     }
@@ -75,7 +79,7 @@
         OutputStream out = new BufferedOutputStream(socket.getOutputStream(), BUFFER_BYTES);
         byte[] body = new byte[crowd.bodyBytes()];
         for (int position = 0; position <= crowd.requestsAhead(); position++) {
-            RequestKind kind = crowd.kind(position);
+            RequestKind kind = kind(position);
             byte[] head = Wire.head(kind, name + "." + position, id(position), body.length);
             int sentBytes = head.length + (kind.idempotent() ? 0 : body.length);
             if (position == crowd.requestsAhead()) {
@@ -99,7 +103,7 @@
                 if (response == null) {
                     throw new IOException("end of the stream");
                 }
-                ledger.onAnswer(sending, crowd.kind(answered), sentNanos, response);
+                ledger.onAnswer(sending, kind(answered), sentNanos, response);
                 answered++;
                 if (response.closesConnection()) {
                     return;
@@ -117,7 +121,7 @@
         try (SoakClient again = new SoakClient(platform, ledger, name + "-again")) {
             int count = Math.min(MAX_RETURNING_REQUESTS, crowd.requestsAhead() + 1);
             for (int position = 0; position < count && again.isOpen(); position++) {
-                again.exchange(crowd.kind(position), id(position));
+                again.exchange(kind(position), id(position));
             }
         }
     }
--- a/harness/src/main/java/loadbalancer/harness/soak/OrdinaryClients.java
+++ b/harness/src/main/java/loadbalancer/harness/soak/OrdinaryClients.java
@@ -7,22 +7,23 @@
 
 /** Clients that send one request at a time, half of them on connections that they keep as long as these are open. */
 final class OrdinaryClients {
-    private static final int CLIENTS = 14;
-    /** On average, so that all of them send 35 requests a second if the responses are quick. */
+    /** On average, so that 14 of them send 35 requests a second if the responses are quick. */
     private static final int PAUSE_MS = 400;
 
     private final SoakPlatform platform;
     private final RequestLedger ledger;
+    private final int clients;
     private final List<Thread> threads = new ArrayList<>();
     private volatile boolean stopped;
 
-    OrdinaryClients(SoakPlatform platform, RequestLedger ledger) {
+    OrdinaryClients(SoakPlatform platform, RequestLedger ledger, int clients) {
         this.platform = platform;
         this.ledger = ledger;
+        this.clients = clients;
     }
 
     void start(SplittableRandom random) {
-        for (int i = 0; i < CLIENTS; i++) {
+        for (int i = 0; i < clients; i++) {
             int number = i;
             SplittableRandom own = random.split();
             threads.add(SoakThreads.start("ordinary client " + i, () -> run(number, own)));
@@ -43,7 +44,7 @@
         int connections = 0;
         for (int request = 0; !stopped; request++) {
             Thread.sleep(random.nextInt(2 * PAUSE_MS));
-            RequestKind kind = RequestKind.of(random.nextInt(100));
+            RequestKind kind = platform.kind(RequestKind.of(random.nextInt(100)));
             String id = String.format("%08x%08x", number, request);
             try {
                 if (client == null || !client.isOpen()) {
--- a/harness/src/main/java/loadbalancer/harness/soak/RequestKind.java
+++ b/harness/src/main/java/loadbalancer/harness/soak/RequestKind.java
@@ -22,11 +22,6 @@
         return ALL[Math.floorMod(number, ALL.length)];
     }
 
-    /** The longest deadline of the configuration, from which the platform reckons the earliest SIGKILL. */
-    static int longestDeadlineMs() {
-        return REPORT.remainingMs;
-    }
-
     /** Returns the entry of the node's configuration file. */
     String settings() {
         return String.format(
--- a/harness/src/main/java/loadbalancer/harness/soak/SoakPlan.java
+++ b/harness/src/main/java/loadbalancer/harness/soak/SoakPlan.java
@@ -12,9 +12,15 @@
  * @param phases what the servers do, in order of time; the first one starts at 0
  * @param crowds the clients that send much at once, in order of time
  * @param replacementsAtMs when the process is replaced
+ * @param faults what the platform does to the processes
  */
 public record SoakPlan(
-        long seed, int lengthMs, List<ServerPhase> phases, List<Crowd> crowds, List<Integer> replacementsAtMs) {
+        long seed,
+        int lengthMs,
+        List<ServerPhase> phases,
+        List<Crowd> crowds,
+        List<Integer> replacementsAtMs,
+        NodeFaults faults) {
     /** The number of servers. */
     static final int SERVERS = 8;
 
@@ -79,10 +85,18 @@
         StringBuilder text = new StringBuilder("replaced at " + replacementsAtMs + "\n");
         crowds.forEach(crowd -> text.append(crowd).append('\n'));
         phases.forEach(phase -> text.append(phase).append('\n'));
+        text.append(faults).append('\n');
         return text.toString();
     }
 
-    /** Draws a plan. */
+    /** Draws a plan in which the platform also stops and limits the processes. */
+    public static SoakPlan withNodeFaults(long seed, int lengthMs) {
+        SoakPlan plan = of(seed, lengthMs);
+        return new SoakPlan(
+                seed, lengthMs, plan.phases, plan.crowds, plan.replacementsAtMs, NodeFaults.of(seed, lengthMs));
+    }
+
+    /** Draws a plan in which the platform does nothing to the processes but replace them. */
     public static SoakPlan of(long seed, int lengthMs) {
         SplittableRandom random = new SplittableRandom(seed);
         List<ServerPhase> phases = new ArrayList<>();
@@ -100,7 +114,7 @@
                 replacements.add(lengthMs * 3 / 4);
             }
         }
-        return new SoakPlan(seed, lengthMs, phases, crowds, replacements);
+        return new SoakPlan(seed, lengthMs, phases, crowds, replacements, NodeFaults.NONE);
     }
 
     private static List<ServerMode> modes(SplittableRandom random) {
--- a/harness/src/main/java/loadbalancer/harness/soak/SoakPlatform.java
+++ b/harness/src/main/java/loadbalancer/harness/soak/SoakPlatform.java
@@ -22,20 +22,23 @@
  */
 final class SoakPlatform implements AutoCloseable {
     private static final String PROGRAM = """
-            use Socket; use POSIX (); $| = 1; $SIG{CHLD} = 'IGNORE'; my @started;
+            use Socket; use POSIX (); $| = 1; my (@started, %status);
+            $SIG{CHLD} = sub { while ((my $ended = waitpid(-1, POSIX::WNOHANG())) > 0) { $status{$ended} = $?; } };
             socket(my $held, PF_INET, SOCK_STREAM, 0) or die;
             bind($held, sockaddr_in(0, INADDR_LOOPBACK)) or die;
             listen($held, 1024) or die;
             print((sockaddr_in(getsockname($held)))[0], "\\n");
             while (my $line = <STDIN>) {
-              chomp $line; my ($log, $control, $command) = split /\\t/, $line; my $pid = fork;
+              chomp $line;
+              if ($line =~ /^status (\\d+)$/) { print(($status{$1} // -1), "\\n"); next; }
+              my ($log, $control, $command) = split /\\t/, $line; my $pid = fork;
               if (!$pid) {
                 open(STDOUT, '>', $log); open(STDERR, '>&', STDOUT); POSIX::dup2(fileno($held), 0);
                 $ENV{PROXY_CONTROL} = $control; exec('/bin/sh', '-c', $command) or die;
               }
               push @started, $pid; print "$pid\\n";
             }
-            kill 9, @started;
+            kill 9, grep { !exists($status{$_}) } @started;
             """;
 
     private static final int READY_TIMEOUT_MS = 30_000;
@@ -51,6 +54,11 @@
     /** How long after SIGKILL a client may notice it. */
     private static final long NOTICED_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
+    private static final int SIGTERM_EXIT_CODE = 143;
+    private static final int SIGKILL_STATUS = 9;
+    private static final int EXIT_CODE_SHIFT = 8;
+    private static final int UNKNOWN_STATUS = -1;
+
     /** A process of the node. */
     record NodeProcess(ProcessHandle handle, InetSocketAddress control, Path log) {}
 
@@ -62,7 +70,9 @@
     private final int port;
     private final Path folder;
     private final String command;
+    private final NodeFaults faults;
     private final RequestLedger ledger;
+    private final Queue<NodeProcess> processes = new ConcurrentLinkedQueue<>();
     private final Queue<Termination> terminations = new ConcurrentLinkedQueue<>();
     private int started;
 
@@ -70,8 +80,10 @@
      * @param root the working directory of the node
      * @param command the deploy file's command that starts a node
      */
-    SoakPlatform(Path root, String command, Path folder, Path config, RequestLedger ledger) throws IOException {
-        this.command = command;
+    SoakPlatform(Path root, String command, Path folder, Path config, NodeFaults faults, RequestLedger ledger)
+            throws IOException {
+        this.command = faults.limit(command);
+        this.faults = faults;
         this.folder = folder;
         this.ledger = ledger;
         ProcessBuilder builder = new ProcessBuilder("perl", "-e", PROGRAM).directory(root.toFile());
@@ -85,6 +97,11 @@
         port = Integer.parseInt(fromPerl.readLine());
     }
 
+    /** Returns a class of requests as it is configured here. */
+    RequestKind kind(RequestKind kind) {
+        return faults.scale(kind);
+    }
+
     /** Returns the port on which clients connect. */
     int port() {
         return port;
@@ -107,9 +124,22 @@
             }
             Thread.sleep(POLL_MS);
         }
+        processes.add(process);
         return process;
     }
 
+    /** Stops all processes for some time. */
+    void stop(int lengthMs) throws IOException, InterruptedException {
+        List<NodeProcess> stopped = List.copyOf(processes);
+        for (NodeProcess process : stopped) {
+            signal(process, "STOP");
+        }
+        Thread.sleep(lengthMs);
+        for (NodeProcess process : stopped) {
+            signal(process, "CONT");
+        }
+    }
+
     private static InetSocketAddress freeAddress() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return (InetSocketAddress) socket.getLocalSocketAddress();
@@ -134,7 +164,7 @@
      */
     void end(NodeProcess process) throws IOException, InterruptedException {
         long termNanos = System.nanoTime();
-        int grantedMs = Math.min(MAX_GRANTED_MS, RequestKind.longestDeadlineMs());
+        int grantedMs = Math.min(MAX_GRANTED_MS, kind(RequestKind.REPORT).remainingMs());
         long killNanos = termNanos + TimeUnit.MILLISECONDS.toNanos(grantedMs + KILL_DELAY_MS);
         terminations.add(new Termination(termNanos, killNanos));
         for (String signal : List.of("HUP", "TERM", "TERM")) {
@@ -143,10 +173,31 @@
         while (process.handle.isAlive() && System.nanoTime() < killNanos) {
             Thread.sleep(1);
         }
+        processes.remove(process);
         process.handle.destroyForcibly();
         while (process.handle.isAlive()) {
             Thread.sleep(1);
         }
+        checkExit(process);
+    }
+
+    /** Records a violation if a process has ended otherwise than by a signal of the platform. */
+    private void checkExit(NodeProcess process) throws IOException, InterruptedException {
+        int status = exitStatus(process);
+        if (status != SIGKILL_STATUS && status >> EXIT_CODE_SHIFT != SIGTERM_EXIT_CODE) {
+            ledger.violate("exit", "status " + status + " after SIGTERM, see " + process.log);
+        }
+    }
+
+    /** Returns the status of a process that has ended, as wait(2) tells it. */
+    private synchronized int exitStatus(NodeProcess process) throws IOException, InterruptedException {
+        int status = UNKNOWN_STATUS;
+        while (status == UNKNOWN_STATUS) {
+            perl.outputWriter().write("status " + process.handle.pid() + "\n");
+            perl.outputWriter().flush();
+            status = Integer.parseInt(fromPerl.readLine());
+        }
+        return status;
     }
 
     private static void signal(NodeProcess process, String signal) throws IOException, InterruptedException {
@@ -178,11 +229,13 @@
         }
     }
 
-    /** Records a violation if a process that nobody has ended is not alive. */
-    void checkAlive(NodeProcess process) {
-        if (!process.handle.isAlive()) {
+    /** Records a violation if a process that nobody has ended is not alive. Returns whether it is alive. */
+    boolean checkAlive(NodeProcess process) {
+        boolean alive = process.handle.isAlive();
+        if (!alive) {
             ledger.violate("crash", "the process has ended, see " + process.log);
         }
+        return alive;
     }
 
     @Override
--- a/harness/src/main/java/loadbalancer/harness/soak/SoakRun.java
+++ b/harness/src/main/java/loadbalancer/harness/soak/SoakRun.java
@@ -1,6 +1,8 @@
 package loadbalancer.harness.soak;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -50,7 +52,7 @@
                 servers.add(new SoakServer("s-" + i, ledger));
             }
             Path config = Files.writeString(folder.resolve("config.json"), configuration(discovery.address()));
-            try (SoakPlatform platform = new SoakPlatform(root, command, folder, config, ledger)) {
+            try (SoakPlatform platform = new SoakPlatform(root, command, folder, config, plan.faults(), ledger)) {
                 return play(platform);
             }
         } finally {
@@ -63,13 +65,17 @@
     private SoakReport play(SoakPlatform platform) throws IOException, InterruptedException {
         NodeProcess process = platform.start();
         startNanos = System.nanoTime();
-        OrdinaryClients ordinary = new OrdinaryClients(platform, ledger);
+        OrdinaryClients ordinary =
+                new OrdinaryClients(platform, ledger, plan.faults().ordinaryClients());
         ordinary.start(random.split());
         Thread phases = SoakThreads.start("server phases", this::playPhases);
         SoakThreads.start("crowds", () -> playCrowds(platform));
+        Thread stops = SoakThreads.start("stops", () -> playStops(platform));
+        SoakThreads.start("idle clients", () -> playIdleCrowds(platform));
+        SoakThreads.start("bursts", () -> playBursts(platform));
         long peakMemoryKb = 0;
         int replacements = 0;
-        while (elapsedMs() < plan.lengthMs() + SETTLE_MS) {
+        while (elapsedMs() < plan.lengthMs() + SETTLE_MS && platform.checkAlive(process)) {
             if (elapsedMs() > plan.lengthMs()) {
                 ordinary.stop();
             }
@@ -79,13 +85,13 @@
             if (due) {
                 replacements++;
                 NodeProcess next = platform.start();
-                platform.checkAlive(process);
                 platform.end(process);
                 process = next;
             }
             Thread.sleep(SAMPLE_MS);
         }
         phases.join();
+        stops.join();
         platform.checkAlive(process);
         String counters = SoakPlatform.call(process, "counters");
         if (peakMemoryKb > MEMORY_MB << 10) {
@@ -132,6 +138,46 @@
         }
     }
 
+    private void playStops(SoakPlatform platform) throws IOException, InterruptedException {
+        for (NodeFaults.Stop stop : plan.faults().stops()) {
+            sleepUntil(stop.atMs());
+            platform.stop(stop.lengthMs());
+        }
+    }
+
+    private void playIdleCrowds(SoakPlatform platform) throws IOException, InterruptedException {
+        List<Socket> idle = new ArrayList<>();
+        try {
+            for (NodeFaults.Arrivals crowd : plan.faults().idleCrowds()) {
+                sleepUntil(crowd.atMs());
+                for (int i = 0; i < crowd.clients(); i++) {
+                    idle.add(new Socket(InetAddress.getLoopbackAddress(), platform.port()));
+                }
+            }
+            sleepUntil(plan.lengthMs() + SETTLE_MS);
+        } finally {
+            for (Socket socket : idle) {
+                socket.close();
+            }
+        }
+    }
+
+    private void playBursts(SoakPlatform platform) throws InterruptedException {
+        for (int number = 0; number < plan.faults().bursts().size(); number++) {
+            NodeFaults.Arrivals burst = plan.faults().bursts().get(number);
+            sleepUntil(burst.atMs());
+            for (int i = 0; i < burst.clients(); i++) {
+                String name = "burst" + number + "-" + i;
+                RequestKind kind = platform.kind(RequestKind.of(i));
+                SoakThreads.start(name, () -> {
+                    try (SoakClient client = new SoakClient(platform, ledger, name)) {
+                        client.exchange(kind, String.format("%08x%08x", name.hashCode(), 0));
+                    }
+                });
+            }
+        }
+    }
+
     /** Returns the configuration of the node, with the names of the platform's page. */
     private String configuration(String discovery) {
         StringBuilder known = new StringBuilder();
@@ -140,10 +186,12 @@
         }
         return "{\"name\":\"n1\",\"listen\":\"127.0.0.1:1\",\"control\":\"127.0.0.1:1\",\"discovery\":\"" + discovery
                 + "\",\"seed\":\"" + String.format("%016x", plan.seed()) + "\",\"limits\":{\"cores\":1.0,\"memory_mb\":"
-                + MEMORY_MB + ",\"sockets\":1024},\"known\":{\"rev\":1,\"all\":true,\"targets\":[" + known
+                + MEMORY_MB + ",\"sockets\":" + plan.faults().descriptors()
+                + "},\"known\":{\"rev\":1,\"all\":true,\"targets\":[" + known
                 + "]},\"settings\":{\"balancers\":1,\"me\":0,\"callers\":{\"marksRetry\":true},\"classes\":["
-                + RequestKind.SEARCH.settings() + "," + RequestKind.ORDER.settings() + ","
-                + RequestKind.REPORT.settings()
+                + plan.faults().scale(RequestKind.SEARCH).settings() + ","
+                + plan.faults().scale(RequestKind.ORDER).settings() + ","
+                + plan.faults().scale(RequestKind.REPORT).settings()
                 + "],\"countedBy\":\"request\",\"costs\":{\"crossZone\":0.029,\"lateFail\":0.03,\"waste\":0.1},"
                 + "\"extra\":{\"warmKeys\":true},\"kinds\":[\"full-core\"],\"layers\":[\"app-servers\"],"
                 + "\"limits\":{\"attemptsCap\":4,\"cancelling\":true,\"connIdleUs\":60000000,\"cpuUsPerRequest\":0,"
--- a/harness/src/test/java/loadbalancer/harness/soak/SoakRunTest.java
+++ b/harness/src/test/java/loadbalancer/harness/soak/SoakRunTest.java
@@ -37,9 +37,23 @@
         assertKeepsRules(seed);
     }
 
+    /**
+     * Guards against processes that end by themselves, and against closing connections over unread requests, where the
+     * system limits the descriptors and stops the processes, and more clients come than they have room for.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void rulesAreKeptWithFewDescriptorsAndStops(long seed) throws Exception {
+        assertKeepsRules(SoakPlan.withNodeFaults(seed, LENGTH_MS));
+    }
+
     private void assertKeepsRules(long seed) throws Exception {
+        assertKeepsRules(SoakPlan.of(seed, LENGTH_MS));
+    }
+
+    private void assertKeepsRules(SoakPlan plan) throws Exception {
         DeployFile deploy = DeployFile.find(Path.of(""));
-        SoakReport report = SoakRun.play(SoakPlan.of(seed, LENGTH_MS), deploy.root(), deploy.run(), folder);
+        SoakReport report = SoakRun.play(plan, deploy.root(), deploy.run(), folder);
         System.out.println(report);
         assertEquals(List.of(), report.violations());
         assertFalse(report.ordinaryWaitsMs().isEmpty());
