Give a request its response also where an error, not an exception, hits it

What callers saw (by the tests): where the balancer throws an Error, as when a class cannot be loaded, the connection of the request is closed unanswered, or the request gets no answer at all (20 s); an operator's call the same. Cause: the three places that contain a defect caught RuntimeException only. Change: PolicyEventQueue, ClientConnection and ControlCallHandler contain errors as well. Evidence: NodeTest.balancerErrorCostsOneRequestWhichStillGetsAResponse (2 cases) and a case of ControlServerTest failed before, pass now.

--- a/node/src/main/java/loadbalancer/admin/ControlCallHandler.java
+++ b/node/src/main/java/loadbalancer/admin/ControlCallHandler.java
@@ -27,7 +27,7 @@
                 case CORDON -> ControlResponse.acceptedAfter(node.setCordoned(call.serverId(), true));
                 case UNCORDON -> ControlResponse.acceptedAfter(node.setCordoned(call.serverId(), false));
             };
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             // A bug in the node: the operator still receives a response, and clients stay connected.
             Log.error("control_call_error", e, "call", call.type().wireName());
             return ControlResponse.rejected("defect in the node");
--- a/node/src/main/java/loadbalancer/client/ClientConnection.java
+++ b/node/src/main/java/loadbalancer/client/ClientConnection.java
@@ -148,7 +148,7 @@
         public void onRequest(ClientRequest request) {
             try {
                 owner.onRequest(ClientConnection.this, request);
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 // A programming error must not leave the request without a response. A handler that has set a close
                 // listener has taken the request over and is responsible for its response.
                 Log.error("request_error", e, "uri", request.head().uri());
--- a/node/src/main/java/loadbalancer/request/PolicyEventQueue.java
+++ b/node/src/main/java/loadbalancer/request/PolicyEventQueue.java
@@ -59,7 +59,7 @@
     private void deliver(Event event) {
         try {
             event.delivery.accept(balancer);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             // A programming error must neither stop the node nor leave the request without a response.
             Log.error("balancer_error", e);
             if (event.failureHandler != null) {
--- a/node/src/test/java/loadbalancer/admin/ControlServerTest.java
+++ b/node/src/test/java/loadbalancer/admin/ControlServerTest.java
@@ -47,6 +47,9 @@
             if (serverId.equals("broken")) {
                 throw new IllegalStateException("thrown by a test");
             }
+            if (serverId.equals("unloadable")) {
+                throw new NoClassDefFoundError("thrown by a test");
+            }
             return serverId.equals("slow") ? DELAY_MILLIS : 0;
         }
     }
@@ -89,6 +92,7 @@
                 "uncordon s1|YES",
                 "cordon none|NO never listed: none",
                 "cordon broken|NO defect in the node",
+                "cordon unloadable|NO defect in the node",
                 "health now|NO health takes no word more",
                 "counters all|NO counters takes no word more",
                 "cordon|NO cordon takes one id",
--- a/node/src/test/java/loadbalancer/process/NodeTest.java
+++ b/node/src/test/java/loadbalancer/process/NodeTest.java
@@ -20,13 +20,13 @@
 class NodeTest {
 
     /** Returns a balancer that throws the first time it gets this event. */
-    private static Balancer failingOnce(Balancer balancer, String event) {
+    private static Balancer failingOnce(Balancer balancer, String event, Throwable failure) {
         boolean[] failed = {false};
         return (Balancer) Proxy.newProxyInstance(
                 Balancer.class.getClassLoader(), new Class<?>[] {Balancer.class}, (proxy, method, args) -> {
                     if (method.getName().equals(event) && !failed[0]) {
                         failed[0] = true;
-                        throw new IllegalStateException("thrown by the test");
+                        throw failure;
                     }
                     try {
                         return method.invoke(balancer, args);
@@ -43,10 +43,22 @@
     @ParameterizedTest
     @ValueSource(strings = {"onRequest", "onOutcome"})
     void balancerExceptionCostsOneRequestWhichStillGetsAResponse(String event) throws Exception {
+        assertCostsOneRequest(event, new IllegalStateException("thrown by the test"));
+    }
+
+    /** The same for an error, as where a class cannot be loaded. */
+    @ParameterizedTest
+    @ValueSource(strings = {"onRequest", "onOutcome"})
+    void balancerErrorCostsOneRequestWhichStillGetsAResponse(String event) throws Exception {
+        assertCostsOneRequest(event, new NoClassDefFoundError("thrown by the test"));
+    }
+
+    private static void assertCostsOneRequest(String event, Throwable failure) throws Exception {
         // The server fails each request, which gives 502. An exception of the balancer gives 500.
         try (FakeServer server = new FakeServer((request, peer) -> peer.write(Http.response("500 No", "", "")));
                 NodeHarness harness = NodeHarness.withSilentDiscovery()) {
-            harness.balancerFactory = actions -> failingOnce(new ServiceQBalancer(harness.settings, 7, actions), event);
+            harness.balancerFactory =
+                    actions -> failingOnce(new ServiceQBalancer(harness.settings, 7, actions), event, failure);
             harness.start(server);
             assertEquals(
                     500, harness.exchange(Http.orderRequest("first", "4000m")).status());
