Run periodic work again after a run that has thrown

What callers would have seen (by the test): after one exception or error in the housekeeping, idle connections stay open, stalled transfers are not ended and cordons are not read any more, without a word in the log. Cause: a fixed-rate timer ends with the first run that throws. Change: MeasuredEventLoop.repeat logs it and goes on; the housekeeping, the only such timer, uses it. Evidence: MeasuredEventLoopTest.periodicTaskGoesOnAfterARunThatThrows failed with a plain timer, passes now.

--- a/node/src/main/java/loadbalancer/eventloop/MeasuredEventLoop.java
+++ b/node/src/main/java/loadbalancer/eventloop/MeasuredEventLoop.java
@@ -4,8 +4,11 @@
 import io.netty.channel.SingleThreadIoEventLoop;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.ThreadAwareExecutor;
 import java.nio.channels.spi.SelectorProvider;
+import java.util.concurrent.TimeUnit;
+import loadbalancer.common.Log;
 
 /**
  * An event loop for NIO channels that sleeps until its timers are due and measures its lag.
@@ -35,4 +38,21 @@
     public LoopLagMeter lagMeter() {
         return (LoopLagMeter) ioHandler();
     }
+
+    /**
+     * Runs a task every so many milliseconds until the returned future is cancelled. What a run throws is logged, and
+     * the task is run again.
+     */
+    public Future<?> repeat(Runnable task, long intervalMillis) {
+        return scheduleAtFixedRate(() -> runLogged(task), intervalMillis, intervalMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private static void runLogged(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException | Error e) {
+            // The next run comes all the same: without it, connections would stay open for ever.
+            Log.error("periodic_task_error", e);
+        }
+    }
 }
--- a/node/src/main/java/loadbalancer/process/Housekeeping.java
+++ b/node/src/main/java/loadbalancer/process/Housekeeping.java
@@ -1,7 +1,6 @@
 package loadbalancer.process;
 
 import io.netty.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 import loadbalancer.client.ClientServer;
 import loadbalancer.common.Log;
 import loadbalancer.eventloop.LoopLagMeter;
@@ -52,7 +51,7 @@
     /** Starts the timer that runs the housekeeping every {@value #INTERVAL_MILLIS} ms. */
     void start() {
         lastRunUs = services.clock().nowUs();
-        timer = loop.scheduleAtFixedRate(this::run, INTERVAL_MILLIS, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        timer = loop.repeat(this::run, INTERVAL_MILLIS);
     }
 
     void stop() {
--- a/node/src/test/java/loadbalancer/eventloop/MeasuredEventLoopTest.java
+++ b/node/src/test/java/loadbalancer/eventloop/MeasuredEventLoopTest.java
@@ -6,6 +6,7 @@
 import io.netty.channel.IoRegistration;
 import io.netty.channel.nio.NioIoHandle;
 import io.netty.channel.nio.NioIoOps;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.Pipe;
@@ -47,6 +48,20 @@
         }
     }
 
+    /** Guards against periodic work that ends for good, and without a word, when one of its runs throws. */
+    @Test
+    void periodicTaskGoesOnAfterARunThatThrows() throws Exception {
+        CountDownLatch runs = new CountDownLatch(3);
+        Future<?> timer = loop.repeat(
+                () -> {
+                    runs.countDown();
+                    throw new NoClassDefFoundError("thrown by the test");
+                },
+                5);
+        assertTrue(runs.await(20, TimeUnit.SECONDS), "the task runs again");
+        timer.cancel(false);
+    }
+
     /** A handle of a pipe whose reading end can be read; each event throws an error. */
     private static final class FailingHandle implements NioIoHandle {
         private final Pipe.SourceChannel source;
