--- a/node/src/main/java/loadbalancer/admin/ControlServer.java
+++ b/node/src/main/java/loadbalancer/admin/ControlServer.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -29,8 +30,13 @@
  */
 public final class ControlServer {
     private static final int MAX_CONNECTIONS = 16;
-    /** The maximum number of file descriptors that the server holds: its connections and its listening socket. */
-    public static final int MAX_SOCKETS = MAX_CONNECTIONS + 1;
+    /** As many as this close in a turn of the event loop to make room, and have their descriptors until the next. */
+    private static final int MAX_ACCEPTS_PER_TURN = 4;
+    /**
+     * The maximum number of file descriptors that the server holds: its connections, those that are closing, and its
+     * listening socket.
+     */
+    public static final int MAX_SOCKETS = MAX_CONNECTIONS + MAX_ACCEPTS_PER_TURN + 1;
 
     private static final int MAX_LINE_BYTES = 1 << 10;
     /** The maximum lifetime of a connection, whether or not its call has been received and its response been read. */
@@ -54,6 +60,9 @@
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(MAX_ACCEPTS_PER_TURN))
                 .childOption(ChannelOption.ALLOCATOR, TransferLimits.ALLOCATOR)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
