--- a/node/src/main/java/loadbalancer/eventloop/MeasuredEventLoop.java
+++ b/node/src/main/java/loadbalancer/eventloop/MeasuredEventLoop.java
@@ -5,6 +5,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.ScheduledFuture;
 import io.netty.util.concurrent.ThreadAwareExecutor;
 import java.nio.channels.spi.SelectorProvider;
 import java.util.concurrent.TimeUnit;
@@ -39,6 +40,12 @@
         return (LoopLagMeter) ioHandler();
     }
 
+    /** Runs a task once, as its superclass does. What it throws is logged; it would be lost otherwise. */
+    @Override
+    public ScheduledFuture<?> schedule(Runnable task, long delay, TimeUnit unit) {
+        return super.schedule(() -> runLogged(task), delay, unit);
+    }
+
     /**
      * Runs a task every so many milliseconds until the returned future is cancelled. What a run throws is logged, and
      * the task is run again.
@@ -51,8 +58,7 @@
         try {
             task.run();
         } catch (RuntimeException | Error e) {
-            // The next run comes all the same: without it, connections would stay open for ever.
-            Log.error("periodic_task_error", e);
+            Log.error("timer_error", e);
         }
     }
 }
