NettyLogTest waits for its line

Reason: the log writes 20 lines a second at most, and other tests may have used them up, as a run of the whole suite showed for another new test. Change: it writes again until there is a line; the line is checked as before.

--- a/node/src/test/java/loadbalancer/common/NettyLogTest.java
+++ b/node/src/test/java/loadbalancer/common/NettyLogTest.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 /** What Netty logs, in the node's log. */
@@ -25,6 +26,16 @@
         return log.toString(StandardCharsets.UTF_8);
     }
 
+    /** Writes again until there is a line: other tests may have used up the lines of this second. */
+    private static String awaitLog(Runnable writer) {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        String log = logOf(writer);
+        while (log.isEmpty() && System.nanoTime() < end) {
+            log = logOf(writer);
+        }
+        return log;
+    }
+
     @Test
     void warningsAndErrorsOfNettyAreEventsOfTheLog() {
         InternalLoggerFactory before = InternalLoggerFactory.getDefaultFactory();
@@ -33,8 +44,8 @@
             InternalLogger logger = InternalLoggerFactory.getInstance("io.netty.Some");
             assertEquals(
                     "level=warn event=netty_warning logger=io.netty.Some message=\"one 1 and 2\"\n",
-                    logOf(() -> logger.warn("one {} and {}", 1, 2)));
-            String error = logOf(() -> logger.error("broken: {}", "x", new IOException("gone")));
+                    awaitLog(() -> logger.warn("one {} and {}", 1, 2)));
+            String error = awaitLog(() -> logger.error("broken: {}", "x", new IOException("gone")));
             assertTrue(
                     error.startsWith("level=error event=netty_error logger=io.netty.Some message=\"broken: x\""
                             + " cause=\"java.io.IOException: gone\"\n    at "),
