--- a/node/src/test/java/loadbalancer/eventloop/MeasuredEventLoopTest.java
+++ b/node/src/test/java/loadbalancer/eventloop/MeasuredEventLoopTest.java
@@ -7,15 +7,13 @@
 import io.netty.channel.nio.NioIoHandle;
 import io.netty.channel.nio.NioIoOps;
 import io.netty.util.concurrent.Future;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.PrintStream;
 import java.nio.ByteBuffer;
 import java.nio.channels.Pipe;
 import java.nio.channels.SelectableChannel;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import loadbalancer.common.CapturedLog;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -58,20 +56,8 @@
     /** Guards against a defect without a trace: a timer keeps what its task throws to itself. */
     @Test
     void whatATimerThrowsIsLogged() throws Exception {
-        PrintStream err = System.err;
-        ByteArrayOutputStream log = new ByteArrayOutputStream();
-        try {
-            System.setErr(new PrintStream(log, true, StandardCharsets.UTF_8));
-            long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
-            // Other tests may have used up the lines of this second.
-            while (log.size() == 0 && System.nanoTime() < end) {
-                loop.schedule(MeasuredEventLoopTest::fail, 1, TimeUnit.MILLISECONDS)
-                        .await();
-            }
-        } finally {
-            System.setErr(err);
-        }
-        String lines = log.toString(StandardCharsets.UTF_8);
+        String lines = CapturedLog.await(() -> loop.schedule(MeasuredEventLoopTest::fail, 1, TimeUnit.MILLISECONDS)
+                .await());
         assertTrue(lines.startsWith("level=error event=timer_error cause="), lines);
     }
 
--- a/node/src/test/java/loadbalancer/process/ClientServerTest.java
+++ b/node/src/test/java/loadbalancer/process/ClientServerTest.java
@@ -4,14 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.PrintStream;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import loadbalancer.client.RequestReader;
+import loadbalancer.common.CapturedLog;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -270,22 +268,18 @@
      */
     @Test
     void doesNotLogAClientThatClosesDuringItsRequest() throws Exception {
-        PrintStream err = System.err;
-        ByteArrayOutputStream log = new ByteArrayOutputStream();
         try (FakeServer server = FakeServer.respondingWith("x");
                 NodeHarness harness = NodeHarness.withSilentDiscovery().start(server)) {
-            System.setErr(new PrintStream(log, true, StandardCharsets.UTF_8));
-            Socket client = harness.connect();
-            NodeHarness.write(client, Http.orderRequest("t", "400m").replace("Length: 2", "Length: 9"));
-            client.shutdownOutput();
-            assertEquals(-1, client.getInputStream().read());
-            // Waits until the event loop has handled the close of the connection.
-            harness.loop.submit(() -> {}).sync();
-        } finally {
-            System.setErr(err);
+            String lines = CapturedLog.of(() -> {
+                Socket client = harness.connect();
+                NodeHarness.write(client, Http.orderRequest("t", "400m").replace("Length: 2", "Length: 9"));
+                client.shutdownOutput();
+                assertEquals(-1, client.getInputStream().read());
+                // Waits until the event loop has handled the close of the connection.
+                harness.loop.submit(() -> {}).sync();
+            });
+            assertFalse(lines.contains("client_connection_error"), lines);
         }
-        String lines = log.toString(StandardCharsets.UTF_8);
-        assertFalse(lines.contains("client_connection_error"), lines);
     }
 
     /**
@@ -294,23 +288,19 @@
      */
     @Test
     void doesNotLogAClientThatResetsDuringItsRequest() throws Exception {
-        PrintStream err = System.err;
-        ByteArrayOutputStream log = new ByteArrayOutputStream();
         try (FakeServer server = FakeServer.respondingWith("x");
                 NodeHarness harness = NodeHarness.withSilentDiscovery().start(server)) {
-            System.setErr(new PrintStream(log, true, StandardCharsets.UTF_8));
-            Socket client = harness.connect();
-            NodeHarness.write(client, Http.orderRequest("t", "400m").replace("Length: 2", "Length: 9"));
-            client.setSoLinger(true, 0);
-            client.close();
-            // The node still serves requests, and has read the reset before this response arrives.
-            assertEquals(200, harness.exchange(Http.pageRequest("next")).status());
-            harness.loop.submit(() -> {}).sync();
-        } finally {
-            System.setErr(err);
+            String lines = CapturedLog.of(() -> {
+                Socket client = harness.connect();
+                NodeHarness.write(client, Http.orderRequest("t", "400m").replace("Length: 2", "Length: 9"));
+                client.setSoLinger(true, 0);
+                client.close();
+                // The node still serves requests, and has read the reset before this response arrives.
+                assertEquals(200, harness.exchange(Http.pageRequest("next")).status());
+                harness.loop.submit(() -> {}).sync();
+            });
+            assertFalse(lines.contains("client_connection_error"), lines);
         }
-        String lines = log.toString(StandardCharsets.UTF_8);
-        assertFalse(lines.contains("client_connection_error"), lines);
     }
 
     /**
