--- a/harness/src/test/java/loadbalancer/harness/soak/SoakRunTest.java
+++ b/harness/src/test/java/loadbalancer/harness/soak/SoakRunTest.java
@@ -47,6 +47,16 @@
         assertKeepsRules(SoakPlan.withNodeFaults(seed, LENGTH_MS));
     }
 
+    /**
+     * Guards against late answers where a crowd with open requests takes all places for clients, and the processes are
+     * stopped several times.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = 146)
+    void rulesAreKeptWhereACrowdTakesAllPlacesForClients(long seed) throws Exception {
+        assertKeepsRules(SoakPlan.withNodeFaults(seed, LENGTH_MS));
+    }
+
     private void assertKeepsRules(long seed) throws Exception {
         assertKeepsRules(SoakPlan.of(seed, LENGTH_MS));
     }
