--- a/harness/src/test/java/loadbalancer/harness/soak/SoakRunTest.java
+++ b/harness/src/test/java/loadbalancer/harness/soak/SoakRunTest.java
@@ -52,7 +52,7 @@
      * stopped several times.
      */
     @ParameterizedTest
-    @ValueSource(longs = 146)
+    @ValueSource(longs = {146, 211})
     void rulesAreKeptWhereACrowdTakesAllPlacesForClients(long seed) throws Exception {
         assertKeepsRules(SoakPlan.withNodeFaults(seed, LENGTH_MS));
     }
