Count the time of a long upload on a new connection from its last byte again

What callers would have seen: 503 for an upload that begins with its connection and takes longer than its client waits after the last byte, where the socket is full when it is first read and never empty after that. Change: the rule is as it was before: what is read up to one turn after the accept. Evidence: UploadDeadlineTest.timeOfALongUploadOnANewConnectionCountsFromItsLastByte failed (503) on the commit before, passes now; its sleep of 50 ms lets the client fill the socket while the loop is held. UploadDeadlineTest, ListenQueueTest, StalledLoopTest, UnreadRequestTest, LargeBodyTest, DescriptorLimitTest, ClassListTest pass (54 tests).

--- a/node/src/main/java/loadbalancer/client/ClientConnection.java
+++ b/node/src/main/java/loadbalancer/client/ClientConnection.java
@@ -39,7 +39,6 @@
     private final StrictServerCodec codec;
     private final ConnectionState state = new ConnectionState();
     private final PipelinedMessages pipelined;
-    private final EarliestArrival earliestArrival;
     private final ReadAheadHandler readAhead;
     private final TurnQuota turnQuota;
     private final RequestAssembler assembler;
@@ -52,7 +51,7 @@
         this.channel = channel;
         this.owner = owner;
         pipelined = new PipelinedMessages(request -> owner.reader().classIndexOf(request));
-        earliestArrival = new EarliestArrival(owner.lagMeter(), openedAtNanos);
+        EarliestArrival earliestArrival = new EarliestArrival(owner.lagMeter(), openedAtNanos);
         readAhead = new ReadAheadHandler(owner.readAheadBudget(), new Input(), owner.lagMeter(), earliestArrival);
         codec = new StrictServerCodec(readAhead::isPaused);
         turnQuota = new TurnQuota(owner.lagMeter(), MAX_REQUESTS_PER_TURN);
@@ -89,7 +88,6 @@
 
         @Override
         public void onInputCaughtUp() {
-            earliestArrival.onInputCaughtUp();
             pipelined.stopRejecting();
         }
     }
--- a/node/src/test/java/loadbalancer/process/UploadDeadlineTest.java
+++ b/node/src/test/java/loadbalancer/process/UploadDeadlineTest.java
@@ -161,4 +161,53 @@
             never.countDown();
         }
     }
+
+    /** Reads a request at 6 MB a second and responds to it. */
+    private static void serveSteadily(ServerSocket listener) {
+        try (Socket connection = listener.accept()) {
+            Http.Message head = Http.readHead(connection.getInputStream());
+            int left = Integer.parseInt(head.headers().get("content-length"));
+            while (left > 0) {
+                left -= connection.getInputStream().readNBytes(Math.min(left, 64 << 10)).length;
+                Thread.sleep(10);
+            }
+            connection.getOutputStream().write(Http.okResponse("done").getBytes(StandardCharsets.US_ASCII));
+            // Keeps the connection open until the node closes it.
+            connection.getInputStream().read();
+        } catch (IOException | InterruptedException e) {
+            // The node has closed the connection.
+        }
+    }
+
+    /**
+     * Guards against counting the time of a request from the opening of its connection: an upload that begins with its
+     * connection takes longer than its client waits after the last byte, and the node never reads its socket empty.
+     */
+    @Test
+    void timeOfALongUploadOnANewConnectionCountsFromItsLastByte() throws Exception {
+        int bodyBytes = 12 << 20;
+        try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                NodeHarness harness = NodeHarness.withSilentDiscovery()) {
+            Thread server = new Thread(() -> serveSteadily(listener), "steady-server");
+            server.setDaemon(true);
+            server.start();
+            harness.startWithList(
+                    NodeHarness.endpointList(1, true, "s0=127.0.0.1:" + listener.getLocalPort() + "=Ready"));
+            // The node finds the socket full when it first reads it.
+            CountDownLatch release = harness.blockEventLoop();
+            Socket client = harness.connect();
+            Thread writer = new Thread(() -> {
+                try {
+                    NodeHarness.write(client, order(false, bodyBytes, 1_000));
+                } catch (IOException e) {
+                    // The node has closed the connection, which the response shows.
+                }
+            });
+            writer.setDaemon(true);
+            writer.start();
+            Thread.sleep(50);
+            release.countDown();
+            assertEquals(200, Http.readMessage(client.getInputStream()).status());
+        }
+    }
 }
