Log and count responses and uploads that the node breaks off

Change: response_abandoned and response_cut say why, what had arrived, for how long and since when nothing; upload_expired tells how much of a body was read and sent on; request_late says whether there was one. node_transfers counts them. ResponseProgress holds what has arrived, AttemptDeadline the timer of an attempt, EventCounters counts for connections and transfers alike. What the node does is unchanged, but that the balancer hears of a response by its head.

--- a/node/src/main/java/loadbalancer/admin/Metrics.java
+++ b/node/src/main/java/loadbalancer/admin/Metrics.java
@@ -3,7 +3,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import loadbalancer.common.ConnectionCounters;
+import loadbalancer.common.ConnectionEvent;
+import loadbalancer.common.EventCounters;
+import loadbalancer.common.TransferEvent;
 import loadbalancer.policy.RequestClass;
 
 /**
@@ -26,7 +28,8 @@
     /** Counts by class name and outcome. A class that is no longer configured keeps its counts. */
     private final Map<String, long[]> finishedRequests = new LinkedHashMap<>();
 
-    private final ConnectionCounters connections = new ConnectionCounters();
+    private final EventCounters<ConnectionEvent> connections = new EventCounters<>(ConnectionEvent.values());
+    private final EventCounters<TransferEvent> transfers = new EventCounters<>(TransferEvent.values());
     private long attempts;
     private long unconfirmedAttempts;
     private long configLoads;
@@ -55,10 +58,15 @@
     }
 
     /** Returns the counters of what the node does with connections of clients by itself. */
-    public ConnectionCounters connections() {
+    public EventCounters<ConnectionEvent> connections() {
         return connections;
     }
 
+    /** Returns the counters of what the node does with transfers by itself. */
+    public EventCounters<TransferEvent> transfers() {
+        return transfers;
+    }
+
     /** Counts a configuration file that has been applied by a reload. */
     public void onConfigLoaded() {
         configLoads++;
--- a/node/src/main/java/loadbalancer/admin/MetricsRenderer.java
+++ b/node/src/main/java/loadbalancer/admin/MetricsRenderer.java
@@ -1,6 +1,7 @@
 package loadbalancer.admin;
 
 import loadbalancer.common.ConnectionEvent;
+import loadbalancer.common.TransferEvent;
 
 /** Renders the metrics of a node as text, one per line: a name, optional labels in braces, and a value. */
 public final class MetricsRenderer {
@@ -16,6 +17,7 @@
     private static final String CONFIG_LOADS = "loads";
     private static final String CONFIG_ERRORS = "load_errors";
     private static final String CONNECTIONS = "connections";
+    private static final String TRANSFERS = "transfers";
     private static final String EVENT_LABEL = "event";
 
     private MetricsRenderer() {}
@@ -41,6 +43,10 @@
             String name = CONNECTIONS + "{" + label(EVENT_LABEL, event.label()) + "}";
             appendLine(text, name, metrics.connections().count(event));
         }
+        for (TransferEvent event : TransferEvent.values()) {
+            String name = TRANSFERS + "{" + label(EVENT_LABEL, event.label()) + "}";
+            appendLine(text, name, metrics.transfers().count(event));
+        }
         return text.toString();
     }
 
--- a/node/src/main/java/loadbalancer/client/ClientServer.java
+++ b/node/src/main/java/loadbalancer/client/ClientServer.java
@@ -17,8 +17,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
 import java.util.function.Predicate;
-import loadbalancer.common.ConnectionCounters;
 import loadbalancer.common.ConnectionEvent;
+import loadbalancer.common.EventCounters;
 import loadbalancer.common.SocketBudget;
 import loadbalancer.eventloop.LoopLagMeter;
 import loadbalancer.eventloop.MeasuredEventLoop;
@@ -91,7 +91,7 @@
             RequestReader reader,
             SocketBudget sockets,
             IntSupplier closeIdleServer,
-            ConnectionCounters counters,
+            EventCounters<ConnectionEvent> counters,
             RequestHandler handler) {
         this.loop = loop;
         this.reader = reader;
--- a/node/src/main/java/loadbalancer/client/ConnectionLog.java
+++ b/node/src/main/java/loadbalancer/client/ConnectionLog.java
@@ -2,8 +2,8 @@
 
 import java.util.EnumMap;
 import java.util.Map;
-import loadbalancer.common.ConnectionCounters;
 import loadbalancer.common.ConnectionEvent;
+import loadbalancer.common.EventCounters;
 import loadbalancer.common.Log;
 import loadbalancer.common.LogThrottle;
 
@@ -12,10 +12,10 @@
  * one line a second, which describes the last connection. Not thread-safe.
  */
 final class ConnectionLog {
-    private final ConnectionCounters counters;
+    private final EventCounters<ConnectionEvent> counters;
     private final Map<ConnectionEvent, LogThrottle> throttles = new EnumMap<>(ConnectionEvent.class);
 
-    ConnectionLog(ConnectionCounters counters) {
+    ConnectionLog(EventCounters<ConnectionEvent> counters) {
         this.counters = counters;
         for (ConnectionEvent event : ConnectionEvent.values()) {
             throttles.put(event, new LogThrottle(System::nanoTime));
--- a/node/src/main/java/loadbalancer/request/AttemptStream.java
+++ b/node/src/main/java/loadbalancer/request/AttemptStream.java
@@ -24,7 +24,6 @@
     /** The source of the response; null until the response has started. */
     private FlowControl responseSource;
 
-    private long responseBytes;
     private boolean responsePaused;
 
     AttemptStream(MonotonicWallClock clock, long startedAtUs) {
@@ -38,14 +37,8 @@
         responseSource = source;
     }
 
-    /** Returns the number of bytes of the response that have arrived. */
-    long responseBytes() {
-        return responseBytes;
-    }
-
-    void onResponsePart(int bytes) {
+    void onResponsePart() {
         lastProgressUs = clock.nowUs();
-        responseBytes += bytes;
     }
 
     @Override
--- /dev/null
+++ b/node/src/main/java/loadbalancer/request/EndReason.java
@@ -0,0 +1,15 @@
+package loadbalancer.request;
+
+import java.util.Locale;
+
+/** Why the node ended an attempt by itself, for the log. */
+enum EndReason {
+    /** The time of the client is over. */
+    DEADLINE,
+    /** The server has neither read nor sent anything for too long. */
+    STALLED;
+
+    String label() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- a/node/src/main/java/loadbalancer/request/HealthCheck.java
+++ b/node/src/main/java/loadbalancer/request/HealthCheck.java
@@ -81,7 +81,12 @@
     }
 
     @Override
-    public void onResponseProgress() {
+    public void onResponseHead(long length) {
+        // Only the end of a health check counts.
+    }
+
+    @Override
+    public void onResponseBytes(int bytes) {
         // Only the end of a health check counts.
     }
 
--- a/node/src/main/java/loadbalancer/request/RequestTable.java
+++ b/node/src/main/java/loadbalancer/request/RequestTable.java
@@ -149,7 +149,7 @@
         }
     }
 
-    private static void logLate(ProxiedRequest request, long lateUs) {
+    private void logLate(ProxiedRequest request, long lateUs) {
         Log.warn(
                 "request_late",
                 "txn",
@@ -161,7 +161,11 @@
                 "in_flight",
                 request.openAttemptCount(),
                 "streaming",
-                request.isResponseStreamed());
+                request.isResponseStreamed(),
+                "upload",
+                request.clientRequest().streamedBody() != null,
+                "since_read_ms",
+                (services.clock().nowUs() - request.readAtUs()) / MICROS_PER_MILLI);
     }
 
     /** Ends the attempts whose servers have stalled a streamed request or response for too long. */
@@ -169,7 +173,7 @@
         long nowUs = services.clock().nowUs();
         List.copyOf(services.streaming()).stream()
                 .filter(attempt -> attempt.isStalled(nowUs))
-                .forEach(UpstreamAttempt::expire);
+                .forEach(UpstreamAttempt::expireStalled);
     }
 
     // ---------------------------------------------------------------- actions of the balancer
--- a/node/src/main/java/loadbalancer/request/UpstreamAttempt.java
+++ b/node/src/main/java/loadbalancer/request/UpstreamAttempt.java
@@ -2,8 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 import loadbalancer.client.ClientConnection;
 import loadbalancer.http.HttpBodies;
 import loadbalancer.policy.AttemptOutcome;
@@ -41,7 +39,6 @@
     private final RequestServices services;
     private final long createdAtUs;
     private final long startByUs;
-    private final long endByUs;
 
     /** Start of the measured latency: when the attempt was created or, if later, the request had arrived in full. */
     private long requestReceivedAtUs;
@@ -52,10 +49,13 @@
     /** The state of what is streamed; null if nothing is. */
     private AttemptStream stream;
 
+    /** What has arrived of the response; null until its head has. */
+    private ResponseProgress response;
+
     /** Whether it has not started because it is not known whether its client has left. */
     private boolean awaitsClient;
 
-    private Future<?> timeout;
+    private final AttemptDeadline deadline;
     private LoadReport loadReport;
     private boolean ended;
 
@@ -76,8 +76,8 @@
         this.number = number;
         this.serverId = serverId;
         this.startByUs = startByUs;
-        this.endByUs = endByUs;
         this.services = services;
+        deadline = new AttemptDeadline(request, endByUs, services, this::onDeadline);
         createdAtUs = services.clock().nowUs();
         requestReceivedAtUs = createdAtUs;
     }
@@ -86,18 +86,24 @@
         return number;
     }
 
+    String serverId() {
+        return serverId;
+    }
+
+    /** Returns what has arrived of the response, or null if its head has not. */
+    ResponseProgress response() {
+        return response;
+    }
+
     boolean isEnded() {
         return ended;
     }
 
-    private boolean isResponseStarted() {
+    /** Returns whether the response is being streamed, or has been. */
+    boolean isResponseStarted() {
         return responseStartedAtUs != NOT_STARTED;
     }
 
-    private long deadlineUs() {
-        return Math.min(endByUs, request.deadlineUs());
-    }
-
     // ---------------------------------------------------------------- the request
 
     /**
@@ -110,8 +116,7 @@
         }
         if (!request.clientPresence().isConfirmed()) {
             awaitsClient = true;
-            cancelTimeout();
-            scheduleAt(endUs());
+            deadline.schedule();
         }
         request.clientPresence().whenConfirmed(this::start);
     }
@@ -125,8 +130,8 @@
             return;
         }
         awaitsClient = false;
-        cancelTimeout();
-        if (endUs() <= services.clock().nowUs() || !mayStart() || !request.allowsAttempt(number)) {
+        deadline.cancel();
+        if (deadline.endUs() <= services.clock().nowUs() || !mayStart() || !request.allowsAttempt(number)) {
             onEnded(AttemptResult.MOOT, HttpBodies.EMPTY);
             return;
         }
@@ -152,24 +157,12 @@
      * sent all of it when the node stopped to read it, and its time runs from then.
      */
     void onBodyBlocked(boolean blocked) {
-        cancelTimeout();
+        deadline.cancel();
         if (blocked && !isResponseStarted()) {
-            scheduleAt(endUs());
+            deadline.schedule();
         }
     }
 
-    /**
-     * Returns when the time of the client ends, or may end if the request has not arrived in full: the rest of a
-     * streamed body may have arrived although it has not been read.
-     */
-    private long endUs() {
-        if (request.isReceived()) {
-            return deadlineUs();
-        }
-        long unreadSinceUs = services.clock().unixMicrosOf(streamedBody().unreadSinceNanos());
-        return unreadSinceUs + request.clientRequest().head().remainingUs();
-    }
-
     /** Starts the timeout, as the client has sent the whole request. */
     void onRequestReceived() {
         if (!isResponseStarted()) {
@@ -200,7 +193,7 @@
             services.metrics().onUnconfirmedAttempt();
             AttemptLog.logUnconfirmedClient(request, serverId, number);
         }
-        long remainingUs = endUs() - services.clock().nowUs();
+        long remainingUs = deadline.endUs() - services.clock().nowUs();
         return UpstreamMessageFactory.attempt(request.clientRequest(), request.className(), remainingUs);
     }
 
@@ -221,7 +214,7 @@
         responseStartedAtUs = services.clock().nowUs();
         startStreaming();
         stream.onResponseStarted(source);
-        cancelTimeout();
+        deadline.cancel();
         if (request.startResponse(this, length, stream)) {
             services.events()
                     .submit(
@@ -232,7 +225,7 @@
 
     @Override
     public void onResponsePart(ByteBuf part) {
-        stream.onResponsePart(part.readableBytes());
+        stream.onResponsePart();
         ClientConnection client = request.receiverOf(this);
         if (client != null) {
             client.writeResponsePart(part);
@@ -242,11 +235,20 @@
     }
 
     @Override
-    public void onResponseProgress() {
-        services.events()
-                .submit(
-                        request,
-                        balancer -> balancer.onResponseProgress(services.clock().nowUs(), request.id(), number));
+    public void onResponseHead(long length) {
+        response = new ResponseProgress(length, services.clock().nowUs());
+        if (length < 0) {
+            services.events()
+                    .submit(
+                            request,
+                            balancer ->
+                                    balancer.onResponseProgress(services.clock().nowUs(), request.id(), number));
+        }
+    }
+
+    @Override
+    public void onResponseBytes(int bytes) {
+        response.onArrival(bytes, services.clock().nowUs());
     }
 
     @Override
@@ -266,20 +268,9 @@
 
     /** Schedules the deadline of the response, which is met once a streamed response has started. */
     private void scheduleTimeout() {
-        cancelTimeout();
+        deadline.cancel();
         if (!isResponseStarted()) {
-            scheduleAt(deadlineUs());
-        }
-    }
-
-    private void scheduleAt(long atUs) {
-        timeout = services.loop().schedule(this::expire, atUs - services.clock().nowUs(), TimeUnit.MICROSECONDS);
-    }
-
-    private void cancelTimeout() {
-        if (timeout != null) {
-            timeout.cancel(false);
-            timeout = null;
+            deadline.schedule();
         }
     }
 
@@ -290,19 +281,25 @@
 
     // ---------------------------------------------------------------- end
 
+    private void onDeadline() {
+        expire(EndReason.DEADLINE);
+    }
+
+    /** Ends the attempt, as its server has stalled for too long. */
+    void expireStalled() {
+        expire(EndReason.STALLED);
+    }
+
     /**
      * Ends the attempt, as its time is up. If the request was not written in full and no response has started, the
      * server has not run it.
      */
-    void expire() {
+    private void expire(EndReason reason) {
         if (awaitsClient) {
             onEnded(AttemptResult.MOOT, HttpBodies.EMPTY);
             return;
         }
-        if (isResponseStarted()) {
-            AttemptLog.logResponseCut(
-                    request, serverId, stream.responseBytes(), services.clock().nowUs() - responseStartedAtUs);
-        }
+        AttemptLog.recordExpiry(this, request, reason, services);
         boolean requestWritten = services.pool().abort(serverId, this);
         boolean mayHaveRun = requestWritten || isResponseStarted();
         onEnded(mayHaveRun ? AttemptResult.TIMEOUT : AttemptResult.CONNECT_FAILED, HttpBodies.EMPTY);
@@ -323,7 +320,7 @@
         }
         ended = true;
         services.streaming().remove(this);
-        cancelTimeout();
+        deadline.cancel();
         request.onAttemptEnded(this, result, body);
         // The latency of a streamed response ends with its start: the transfer also depends on the client.
         long respondedAtUs =
--- a/node/src/main/java/loadbalancer/transfer/RequestBody.java
+++ b/node/src/main/java/loadbalancer/transfer/RequestBody.java
@@ -116,6 +116,11 @@
         return client.unreadSinceNanos();
     }
 
+    /** Returns the number of bytes that have been read from the client. */
+    public long arrivedBytes() {
+        return arrivedBytes;
+    }
+
     /** Returns the number of bytes after the beginning that have been forwarded to servers. */
     public long forwardedBytes() {
         return forwardedBytes;
--- a/node/src/main/java/loadbalancer/upstream/ResponseReader.java
+++ b/node/src/main/java/loadbalancer/upstream/ResponseReader.java
@@ -38,8 +38,6 @@
     private ByteBuf buffered;
 
     private boolean streaming;
-    /** Whether the exchange has been told that a response of unknown length is being buffered. */
-    private boolean progressReported;
 
     /** @param source pauses and resumes reading of a streamed response */
     ResponseReader(FlowControl source) {
@@ -57,7 +55,6 @@
         head = null;
         releaseBuffered();
         streaming = false;
-        progressReported = false;
     }
 
     /** Reads the head of a response. Returns false if its body cannot be delimited or decoded reliably. */
@@ -67,7 +64,13 @@
         long expectedBytes = HttpUtil.getContentLength(response, INITIAL_BUFFER_BYTES);
         buffered = TransferLimits.ALLOCATOR.buffer(
                 Math.max(0, (int) Math.min(TransferLimits.MAX_BUFFERED_BYTES, expectedBytes)));
-        return TransferCodings.hasOnlyChunkedCoding(response) && !endsWithUnannouncedClose(response);
+        if (!TransferCodings.hasOnlyChunkedCoding(response) || endsWithUnannouncedClose(response)) {
+            return false;
+        }
+        if (response.status().code() == OK) {
+            exchange.onResponseHead(length());
+        }
+        return true;
     }
 
     /**
@@ -90,6 +93,7 @@
         if (head.status().code() != OK) {
             return;
         }
+        exchange.onResponseBytes(part.readableBytes());
         if (!streaming && isTooLargeToBuffer(part)) {
             startStreaming();
             if (exchange == null) {
@@ -123,20 +127,13 @@
         exchange.onResponseReadComplete();
     }
 
-    /** Tells the exchange that all data that has arrived so far has been read. */
+    /** Tells the exchange that all parts of a streamed body that have arrived so far have been read. */
     void onReadComplete() {
         if (streaming) {
             exchange.onResponseReadComplete();
-        } else if (!progressReported && isBuffering() && length() < 0) {
-            progressReported = true;
-            exchange.onResponseProgress();
         }
     }
 
-    private boolean isBuffering() {
-        return buffered != null && head.status().code() == OK;
-    }
-
     /** Passes the load report of the response, if any, to the exchange. */
     void notifyOfLoadReport() {
         String report = head.headers().get(ProtocolHeaders.LOAD_REPORT);
--- a/node/src/main/java/loadbalancer/upstream/UpstreamExchange.java
+++ b/node/src/main/java/loadbalancer/upstream/UpstreamExchange.java
@@ -45,8 +45,15 @@
     /** Receives the next part of a streamed response, and takes ownership of it. */
     void onResponsePart(ByteBuf part);
 
-    /** The response has begun to arrive and is buffered until more of it is known. Called once at most. */
-    void onResponseProgress();
+    /**
+     * The head of a response with a body to forward has arrived.
+     *
+     * @param length the announced length of the body in bytes, or -1 if there is none
+     */
+    void onResponseHead(long length);
+
+    /** Bytes of the body have arrived, which are buffered or are passed on next. */
+    void onResponseBytes(int bytes);
 
     /** All parts of a streamed response that have arrived so far have been passed on. */
     void onResponseReadComplete();
--- a/node/src/test/java/loadbalancer/admin/MetricsTest.java
+++ b/node/src/test/java/loadbalancer/admin/MetricsTest.java
@@ -55,6 +55,9 @@
                 node_connections{event="shut_down"} 0
                 node_connections{event="accept_paused"} 0
                 node_connections{event="accept_failed"} 0
+                node_transfers{event="response_abandoned"} 0
+                node_transfers{event="response_cut"} 0
+                node_transfers{event="upload_expired"} 0
                 """, MetricsRenderer.render(metrics, new Metrics.Gauges(7, 5, 3)));
     }
 }
--- a/node/src/test/java/loadbalancer/client/ClientAcceptorTest.java
+++ b/node/src/test/java/loadbalancer/client/ClientAcceptorTest.java
@@ -18,8 +18,8 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import loadbalancer.common.ConnectionCounters;
 import loadbalancer.common.ConnectionEvent;
+import loadbalancer.common.EventCounters;
 import loadbalancer.common.SocketBudget;
 import loadbalancer.eventloop.MeasuredEventLoop;
 import loadbalancer.net.AdmittingServerChannel;
@@ -36,7 +36,7 @@
     private static final int MANY_DESCRIPTORS = 2_048;
 
     private final MeasuredEventLoop loop = new MeasuredEventLoop("test", true);
-    private final ConnectionCounters counters = new ConnectionCounters();
+    private final EventCounters<ConnectionEvent> counters = new EventCounters<>(ConnectionEvent.values());
     private final LinkedBlockingQueue<Channel> accepted = new LinkedBlockingQueue<>();
     private final AtomicInteger evictionsAsked = new AtomicInteger();
     private final List<Socket> clients = new ArrayList<>();
