Count the time of a large request from when its client's own socket may have taken it

Cause: the node counted from the earliest time at which the last byte may have been in its own receive buffer. A client counts from when it has written it, and its own send buffer takes up to 4 MiB more (the most that Linux gives by itself). The class: what lies in the client's socket counts as not sent. The same estimate serves requests that wait behind others and bodies that wait for a server.

Change: ArrivalEstimator covers both buffers. For a known length it is asked for the last byte and not for the next one, so that a body larger than all buffers has no deadline before its end has room; the deadline is looked at again when its timer fires. What is held is asked for by position.

The cost: a request whose client has small buffers, so that its time begins only with its last byte, is answered 503 once its server has blocked it for as long as the client waits. The node cannot tell these two, and an early answer loses nothing but the attempt.

--- a/node/src/main/java/loadbalancer/client/ArrivalEstimator.java
+++ b/node/src/main/java/loadbalancer/client/ArrivalEstimator.java
@@ -2,21 +2,22 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import loadbalancer.transfer.TransferLimits;
 
 /**
- * Estimates when the bytes that are read from a connection arrived at the node, although they may have waited in the
- * receive buffer of the socket while the node did not read. The same holds for connections that wait in the listen
- * queue of a socket: its capacity and its amounts are numbers of connections.
+ * Estimates when the bytes that are read from a connection were written by its client, although they may have waited in
+ * buffers while the node did not read. The same holds for connections that wait in the listen queue of a socket: its
+ * capacity and its amounts are numbers of connections.
  *
- * <p>Bytes arrive after the last time at which the buffer was empty. They also arrive after the buffer had room for
- * them: after the bytes that lie a whole buffer before them were read. The estimate is the later of these times, hence
- * the earliest possible arrival. Bytes that waited in the client's own buffers had not arrived yet.
+ * <p>Bytes are written after the last time at which the buffers were empty. They are also written after the buffers had
+ * room for them: after the bytes that lie the whole capacity before them were read. The estimate is the later of these
+ * times, hence the earliest possible one.
  *
  * <p>Times are values of {@link System#nanoTime}. Not thread-safe.
  */
 final class ArrivalEstimator {
-    /** How many marks cover the receive buffer. */
-    private static final int MARKS_PER_BUFFER = 16;
+    /** How many marks cover the buffers. */
+    private static final int MARKS_PER_BUFFER = 64;
 
     /** When the connection had been read up to this offset. */
     private record Mark(long offset, long readAtNanos) {}
@@ -25,19 +26,25 @@
     private final List<Mark> marks = new ArrayList<>();
     private long readAmount;
 
-    /** @param capacity how much the receive buffer of the socket may hold, in bytes, or the listen queue */
+    /** @param capacity how much all buffers on the way may hold, in bytes, or the listen queue */
     ArrivalEstimator(int capacity) {
         this.capacity = capacity;
     }
 
-    /** Records that the receive buffer is empty now, and that bytes which arrive from now on may wait in it. */
+    /** Creates an estimator for the input of a client, which waits in the sockets of both sides. */
+    static ArrivalEstimator ofClientInput() {
+        return new ArrivalEstimator(
+                TransferLimits.SOCKET_RECEIVE_BUFFER_BYTES + TransferLimits.MAX_PEER_SEND_BUFFER_BYTES);
+    }
+
+    /** Records that the buffers are empty now, and that bytes which are written from now on may wait in them. */
     void onEmpty(long nowNanos) {
         marks.clear();
         readAmount = 0;
         marks.add(new Mark(0, nowNanos));
     }
 
-    /** Records that bytes have been read, and returns the earliest time at which the last of them may have arrived. */
+    /** Records that bytes have been read. Returns the earliest time at which the last of them may have been written. */
     long onRead(int amount, long nowNanos) {
         readAmount += amount;
         while (marks.size() > 1 && marks.get(1).offset <= readAmount - capacity) {
@@ -50,8 +57,24 @@
         return earliestNanos;
     }
 
-    /** Returns the earliest time at which bytes that have not been read yet may have arrived. */
+    /** Returns the earliest time at which bytes that have not been read yet may have been written. */
     long earliestUnreadNanos() {
         return marks.get(0).readAtNanos;
     }
+
+    /**
+     * Returns the earliest time at which the byte that lies this far behind what has been read may have been written:
+     * now, if the buffers have had no room for it yet.
+     */
+    long earliestUnreadNanos(long distance, long nowNanos) {
+        long roomAtOffset = readAmount + distance - capacity;
+        if (roomAtOffset > readAmount) {
+            return nowNanos;
+        }
+        int latest = marks.size() - 1;
+        while (latest > 0 && marks.get(latest).offset > roomAtOffset) {
+            latest--;
+        }
+        return marks.get(latest).readAtNanos;
+    }
 }
--- a/node/src/main/java/loadbalancer/client/HeldInput.java
+++ b/node/src/main/java/loadbalancer/client/HeldInput.java
@@ -19,6 +19,7 @@
     private final ReadAheadBudget budget;
     private final ArrayDeque<Segment> segments = new ArrayDeque<>();
     private long bytes;
+    private long readableBytes;
 
     HeldInput(ReadAheadBudget budget) {
         this.budget = budget;
@@ -28,6 +29,7 @@
         return segments.isEmpty();
     }
 
+    /** Returns how much of the budget is used. */
     long bytes() {
         return bytes;
     }
@@ -37,9 +39,21 @@
         return budget.allows(bytes, TransferLimits.MAX_READ_BYTES);
     }
 
-    /** Returns when the first bytes may have arrived at the earliest; there must be some. */
-    long firstArrivedAtNanos() {
-        return segments.peek().arrivedAtNanos;
+    /** Returns how many bytes of input are held. */
+    long readableBytes() {
+        return readableBytes;
+    }
+
+    /** Returns when the byte at this position, counted from 1, may have arrived at the earliest. */
+    long arrivedAtNanos(long position) {
+        long end = 0;
+        for (Segment segment : segments) {
+            end += segment.bytes.readableBytes();
+            if (position <= end) {
+                return segment.arrivedAtNanos;
+            }
+        }
+        throw new IllegalArgumentException("not held: " + position);
     }
 
     /** Appends bytes and takes ownership of them. */
@@ -51,6 +65,7 @@
         }
         budget.acquire(compact.capacity());
         bytes += compact.capacity();
+        readableBytes += compact.readableBytes();
         segments.add(new Segment(compact, compact.capacity(), arrivedAtNanos));
     }
 
@@ -60,6 +75,7 @@
         if (first != null) {
             budget.release(first.accountedBytes);
             bytes -= first.accountedBytes;
+            readableBytes -= first.bytes.readableBytes();
         }
         return first;
     }
--- a/node/src/main/java/loadbalancer/client/ReadAheadHandler.java
+++ b/node/src/main/java/loadbalancer/client/ReadAheadHandler.java
@@ -38,7 +38,7 @@
     private final InputListener listener;
     private final LoopClock clock;
     private final LongSupplier earliestArrivalNanos;
-    private final ArrivalEstimator estimator = new ArrivalEstimator(TransferLimits.SOCKET_RECEIVE_BUFFER_BYTES);
+    private final ArrivalEstimator estimator = ArrivalEstimator.ofClientInput();
     private final EndOfStreamWatch endOfStream = new EndOfStreamWatch();
     private final SocketProbe probe;
     private final HeldInput held;
@@ -98,12 +98,13 @@
         return arrivedAtNanos;
     }
 
-    /** The same for the input that has not been passed on yet. */
-    long unreadSinceNanos() {
-        if (!held.isEmpty()) {
-            return held.firstArrivedAtNanos();
+    /** See {@link loadbalancer.transfer.RequestSource#writtenSinceNanos}. */
+    long writtenSinceNanos(long distance) {
+        long nowNanos = clock.nanoTime();
+        if (distance <= held.readableBytes()) {
+            return held.arrivedAtNanos(distance);
         }
-        return behind ? estimator.earliestUnreadNanos() : clock.nanoTime();
+        return behind ? estimator.earliestUnreadNanos(distance - held.readableBytes(), nowNanos) : nowNanos;
     }
 
     /** Returns the number of bytes that are held. */
--- a/node/src/main/java/loadbalancer/client/RequestAssembler.java
+++ b/node/src/main/java/loadbalancer/client/RequestAssembler.java
@@ -276,8 +276,8 @@
     }
 
     @Override
-    public long unreadSinceNanos() {
-        return readAhead.unreadSinceNanos();
+    public long writtenSinceNanos(long distance) {
+        return readAhead.writtenSinceNanos(distance);
     }
 
     @Override
--- a/node/src/main/java/loadbalancer/request/AttemptDeadline.java
+++ b/node/src/main/java/loadbalancer/request/AttemptDeadline.java
@@ -29,16 +29,16 @@
     }
 
     /**
-     * Returns when the time of the client ends, or may end if the request has not arrived in full: the rest of a
-     * streamed body may have arrived although it has not been read.
+     * Returns when the time of the client ends, or may end if the request has not arrived in full: the client may have
+     * written the rest of a streamed body although it has not been read.
      */
     long endUs() {
         if (request.isReceived()) {
             return Math.min(endByUs, request.deadlineUs());
         }
-        long unreadSinceUs = services.clock()
-                .unixMicrosOf(request.clientRequest().streamedBody().unreadSinceNanos());
-        return unreadSinceUs + request.clientRequest().head().remainingUs();
+        long writtenSinceUs = services.clock()
+                .unixMicrosOf(request.clientRequest().streamedBody().writtenSinceNanos());
+        return writtenSinceUs + request.clientRequest().head().remainingUs();
     }
 
     /** Returns whether it has been decided that a response which was arriving at the deadline goes on. */
@@ -66,6 +66,11 @@
     }
 
     private void onPassed() {
+        if (endUs() > services.clock().nowUs()) {
+            // The rest of the request may have been written later than it seemed when the timer was set.
+            schedule();
+            return;
+        }
         ResponseProgress response = attempt.response();
         if (response == null || !request.mayStreamResponse()) {
             attempt.expire(EndReason.DEADLINE);
--- a/node/src/main/java/loadbalancer/request/AttemptLog.java
+++ b/node/src/main/java/loadbalancer/request/AttemptLog.java
@@ -75,8 +75,8 @@
                 body.arrivedBytes(),
                 "forwarded",
                 body.forwardedBytes(),
-                "unread_ms",
-                (System.nanoTime() - body.unreadSinceNanos()) / NANOS_PER_MILLI);
+                "written_ms",
+                (System.nanoTime() - body.writtenSinceNanos()) / NANOS_PER_MILLI);
     }
 
     /** Logs that an attempt begins although it is not known whether its client has left long before. */
--- a/node/src/main/java/loadbalancer/transfer/RequestBody.java
+++ b/node/src/main/java/loadbalancer/transfer/RequestBody.java
@@ -109,11 +109,11 @@
     }
 
     /**
-     * Returns the earliest time at which the rest of the body may have arrived, by {@link System#nanoTime}. Only for a
-     * body that has not been received.
+     * Returns the earliest time at which the client may have written the last byte of the body, by
+     * {@link System#nanoTime}; of a chunked body, the next byte. Only for a body that has not been received.
      */
-    public long unreadSinceNanos() {
-        return client.unreadSinceNanos();
+    public long writtenSinceNanos() {
+        return client.writtenSinceNanos(length < 0 ? 1 : length - arrivedBytes);
     }
 
     /** Returns the number of bytes that have been read from the client. */
--- a/node/src/main/java/loadbalancer/transfer/TransferLimits.java
+++ b/node/src/main/java/loadbalancer/transfer/TransferLimits.java
@@ -39,6 +39,12 @@
      */
     public static final int SOCKET_RECEIVE_BUFFER_BYTES = 256 << 10;
 
+    /**
+     * How much a client's own socket may hold of what the client has written: the largest send buffer that Linux gives
+     * a socket by itself.
+     */
+    public static final int MAX_PEER_SEND_BUFFER_BYTES = 4 << 20;
+
     /**
      * SO_SNDBUF of connections to servers. What a slow server has still to read of a large request costs the client
      * time that runs from its last byte. Buffers much smaller than a loopback segment (64 KiB) stall TCP.
--- a/node/src/test/java/loadbalancer/client/ArrivalEstimatorTest.java
+++ b/node/src/test/java/loadbalancer/client/ArrivalEstimatorTest.java
@@ -28,6 +28,19 @@
         assertEquals(300, estimator.onRead(1_000, 500));
     }
 
+    /** Guards against counting the time of a request from a moment at which its last byte had no room yet. */
+    @Test
+    void unreadBytesAreWrittenOnceTheBuffersHaveRoomForThem() {
+        estimator.onEmpty(100);
+        estimator.onRead(1_000, 200);
+        estimator.onRead(1_000, 300);
+        assertEquals(100, estimator.earliestUnreadNanos(1, 400));
+        assertEquals(100, estimator.earliestUnreadNanos(BUFFER - 1_001, 400));
+        assertEquals(200, estimator.earliestUnreadNanos(BUFFER - 1_000, 400));
+        assertEquals(300, estimator.earliestUnreadNanos(BUFFER, 400));
+        assertEquals(400, estimator.earliestUnreadNanos(BUFFER + 1, 400));
+    }
+
     @Test
     void emptyBufferStartsAnew() {
         estimator.onEmpty(100);
--- a/node/src/test/java/loadbalancer/client/ReadAheadHandlerTest.java
+++ b/node/src/test/java/loadbalancer/client/ReadAheadHandlerTest.java
@@ -116,7 +116,7 @@
         nextTurn();
         read(new byte[100]);
         long nowNanos = clock.nanoTime();
-        assertTrue(handler.unreadSinceNanos() >= nowNanos, "unread input may have arrived before");
+        assertTrue(handler.writtenSinceNanos(1) >= nowNanos, "unread input may have arrived before");
     }
 
     /** Guards against memory that is never freed: a connection ends, or its input is discarded. */
--- a/node/src/test/java/loadbalancer/transfer/RequestBodyTest.java
+++ b/node/src/test/java/loadbalancer/transfer/RequestBodyTest.java
@@ -34,7 +34,7 @@
         }
 
         @Override
-        public long unreadSinceNanos() {
+        public long writtenSinceNanos(long distance) {
             return UNREAD_SINCE_NANOS;
         }
 
