Measure the pace of a late response from one arrival to another

A sound response of 64 kB/s in parts of 12.8 kB each 0.2 s that begins at its deadline showed 32 kB/s and would have been cut.

Change: the pace is what has arrived since the last arrival before the deadline, over the time between these two arrivals; the present pause counts only as far as it is longer than the longest before.

--- a/node/src/main/java/loadbalancer/request/AttemptDeadline.java
+++ b/node/src/main/java/loadbalancer/request/AttemptDeadline.java
@@ -80,7 +80,7 @@
         if (verdict == Verdict.EXPIRE) {
             attempt.expire(EndReason.DEADLINE);
         } else if (verdict == Verdict.DECIDE_LATER) {
-            response.onDeadline(services.clock().nowUs());
+            response.onDeadline();
             schedule(endUs() + LateResponseRule.DECISION_DELAY_US, this::decide);
         }
     }
--- a/node/src/main/java/loadbalancer/request/LateResponseRule.java
+++ b/node/src/main/java/loadbalancer/request/LateResponseRule.java
@@ -1,6 +1,6 @@
 package loadbalancer.request;
 
-import loadbalancer.request.ResponseProgress.Pace;
+import loadbalancer.request.ResponseProgress.Arrival;
 import loadbalancer.transfer.TransferLimits;
 
 /**
@@ -67,7 +67,7 @@
     }
 
     private static boolean isOnePart(ResponseProgress response) {
-        return response.flowTimeUs() < ONE_PART_US;
+        return response.last().atUs() - response.first().atUs() < ONE_PART_US;
     }
 
     private static boolean hasStopped(ResponseProgress response, long nowUs) {
@@ -79,14 +79,21 @@
 
     /** Returns how long it would take the response to exceed the limit at its present pace. */
     private static double remainingUs(ResponseProgress response, long nowUs) {
-        Pace pace = presentPace(response, nowUs);
         long remainingBytes = TransferLimits.MAX_BUFFERED_BYTES + 1 - response.bytes();
-        return (double) remainingBytes * pace.timeUs() / pace.bytes();
+        if (isOnePart(response)) {
+            long elapsedUs = nowUs - response.first().atUs();
+            return (double) remainingBytes * elapsedUs / response.bytes();
+        }
+        Arrival from = flowStart(response);
+        // As long as a pause is not longer than others were, the flow is not slower than it was.
+        long excessPauseUs = Math.max(0, response.pauseUs(nowUs) - response.longestPauseUs());
+        long flowUs = response.last().atUs() - from.atUs() + excessPauseUs;
+        return (double) remainingBytes * flowUs / (response.bytes() - from.bytes());
     }
 
-    /** The pace since the deadline, unless the parts are so far apart that it says little. */
-    private static Pace presentPace(ResponseProgress response, long nowUs) {
-        boolean isFine = !isOnePart(response) && PAUSE_FACTOR * response.longestPauseUs() <= DECISION_DELAY_US;
-        return isFine ? response.paceSinceDeadline(nowUs) : response.meanPace(nowUs);
+    /** Returns the arrival from which on the pace counts: as late as the parts are fine enough for. */
+    private static Arrival flowStart(ResponseProgress response) {
+        boolean isFine = PAUSE_FACTOR * response.longestPauseUs() <= DECISION_DELAY_US;
+        return isFine ? response.lastBeforeDeadline() : response.first();
     }
 }
--- a/node/src/main/java/loadbalancer/request/ResponseProgress.java
+++ b/node/src/main/java/loadbalancer/request/ResponseProgress.java
@@ -7,17 +7,21 @@
  * loadbalancer.common.MonotonicWallClock}. All methods are called on the event loop.
  */
 final class ResponseProgress {
-    /** A pace over some time. */
-    record Pace(long bytes, long timeUs) {}
+    /**
+     * How much had arrived at the time of an arrival.
+     *
+     * @param bytes the bytes of the body, with those of this arrival
+     */
+    record Arrival(long bytes, long atUs) {}
+
+    private static final Arrival NONE = new Arrival(0, 0);
 
     private final long announcedLength;
     private final long headAtUs;
-    private long firstArrivalUs;
-    private long lastArrivalUs;
+    private Arrival first = NONE;
+    private Arrival last = NONE;
+    private Arrival lastBeforeDeadline = NONE;
     private long longestPauseUs;
-    private long bytes;
-    private long deadlineUs = Long.MAX_VALUE;
-    private long bytesAtDeadline;
 
     /**
      * Created when the head arrives.
@@ -27,24 +31,22 @@
     ResponseProgress(long announcedLength, long nowUs) {
         this.announcedLength = announcedLength;
         headAtUs = nowUs;
-        lastArrivalUs = nowUs;
     }
 
     /** Records that bytes of the body have arrived. */
     void onArrival(int newBytes, long nowUs) {
-        if (bytes == 0) {
-            firstArrivalUs = nowUs;
-        } else {
-            longestPauseUs = Math.max(longestPauseUs, nowUs - lastArrivalUs);
+        if (last != NONE) {
+            longestPauseUs = Math.max(longestPauseUs, nowUs - last.atUs);
+        }
+        last = new Arrival(last.bytes + newBytes, nowUs);
+        if (first == NONE) {
+            first = last;
         }
-        bytes += newBytes;
-        lastArrivalUs = nowUs;
     }
 
     /** Records that the client's time is over now. */
-    void onDeadline(long nowUs) {
-        deadlineUs = nowUs;
-        bytesAtDeadline = bytes;
+    void onDeadline() {
+        lastBeforeDeadline = last;
     }
 
     /** Returns the announced length of the body in bytes, or -1 if there is none. */
@@ -59,12 +61,12 @@
 
     /** Returns whether the body is known to be too large to be buffered, so that only its first bytes are timed. */
     boolean isLarge() {
-        return Math.max(announcedLength, bytes) > TransferLimits.MAX_BUFFERED_BYTES;
+        return Math.max(announcedLength, last.bytes) > TransferLimits.MAX_BUFFERED_BYTES;
     }
 
     /** Returns how many bytes of the body have arrived. */
     long bytes() {
-        return bytes;
+        return last.bytes;
     }
 
     /** Returns for how long the response has been arriving. */
@@ -74,7 +76,7 @@
 
     /** Returns for how long nothing has arrived. */
     long pauseUs(long nowUs) {
-        return nowUs - lastArrivalUs;
+        return nowUs - Math.max(headAtUs, last.atUs);
     }
 
     /** Returns the longest pause between two arrivals so far, without the present one. */
@@ -82,18 +84,18 @@
         return longestPauseUs;
     }
 
-    /** Returns the time from the first arrival of a part of the body to the last. */
-    long flowTimeUs() {
-        return lastArrivalUs - firstArrivalUs;
+    /** Returns the first arrival of a part of the body, of which there must be some. */
+    Arrival first() {
+        return first;
     }
 
-    /** Returns the pace since the first part of the body, of which there must be some. */
-    Pace meanPace(long nowUs) {
-        return new Pace(bytes, nowUs - firstArrivalUs);
+    /** Returns the last arrival so far. */
+    Arrival last() {
+        return last;
     }
 
-    /** Returns the pace since the deadline, or the mean pace if the deadline has not passed. */
-    Pace paceSinceDeadline(long nowUs) {
-        return deadlineUs < nowUs ? new Pace(bytes - bytesAtDeadline, nowUs - deadlineUs) : meanPace(nowUs);
+    /** Returns the last arrival before the client's time was over; the first one if there was none, or it is not. */
+    Arrival lastBeforeDeadline() {
+        return lastBeforeDeadline == NONE ? first : lastBeforeDeadline;
     }
 }
