Soak with servers that read requests slowly and write responses in parts

Reason: the soak had no slow transfers and did not judge whether a response that its server went on writing reached its client.

--- a/cli/src/main/java/loadbalancer/cli/FleetSoak.java
+++ b/cli/src/main/java/loadbalancer/cli/FleetSoak.java
@@ -46,11 +46,19 @@
                     + " clients and bursts of new connections.")
     private boolean nodeFaults;
 
+    @Option(
+            names = "--slow-transfers",
+            description = "Also has servers that read requests slowly and write responses in parts, or never end them.")
+    private boolean slowTransfers;
+
     @Option(names = "--plan", description = "Prints what each seed does.")
     private boolean printPlan;
 
     @Override
     public Integer call() throws IOException, InterruptedException {
+        if (nodeFaults && slowTransfers) {
+            throw new UsageException("--node-faults and --slow-transfers: only one of them is allowed");
+        }
         if (seeds < 1 || seconds < MIN_SECONDS) {
             throw new UsageException(
                     "--seeds = " + seeds + ", --seconds = " + seconds + ": must be at least 1 and " + MIN_SECONDS);
@@ -60,7 +68,7 @@
         boolean keepsRules = true;
         for (long next = seed; next < seed + seeds; next++) {
             int lengthMs = seconds * MILLIS_PER_SECOND;
-            SoakPlan plan = nodeFaults ? SoakPlan.withNodeFaults(next, lengthMs) : SoakPlan.of(next, lengthMs);
+            SoakPlan plan = plan(next, lengthMs);
             if (printPlan) {
                 out.print(plan.describe());
             }
@@ -71,10 +79,18 @@
             if (!report.violations().isEmpty()) {
                 keepsRules = false;
                 out.println("replay: lb fleet soak --seed " + next + " --seconds " + seconds
-                        + (nodeFaults ? " --node-faults" : "") + "; logs in " + folder);
+                        + (nodeFaults ? " --node-faults" : "") + (slowTransfers ? " --slow-transfers" : "")
+                        + "; logs in " + folder);
             }
             out.flush();
         }
         return keepsRules ? ExitCode.OK : ExitCode.CHECK_FAILED;
     }
+
+    private SoakPlan plan(long planSeed, int lengthMs) {
+        if (slowTransfers) {
+            return SoakPlan.withSlowTransfers(planSeed, lengthMs);
+        }
+        return nodeFaults ? SoakPlan.withNodeFaults(planSeed, lengthMs) : SoakPlan.of(planSeed, lengthMs);
+    }
 }
--- a/harness/src/main/java/loadbalancer/harness/soak/RequestLedger.java
+++ b/harness/src/main/java/loadbalancer/harness/soak/RequestLedger.java
@@ -22,6 +22,9 @@
     /** A response is lost half a second after its time; every limit of the platform is 50 ms longer. */
     static final long MAX_LATENESS_NANOS = TimeUnit.MILLISECONDS.toNanos(550);
 
+    /** A response that a server begins this long before the deadline has its first bytes in time. */
+    private static final long MAX_FORWARDING_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
     private static final double NANOS_PER_MS = 1e6;
     private static final int MAX_REPORTED = 200;
 
@@ -36,6 +39,9 @@
     /** How often each sending that has reached a server has run. */
     private final Map<String, Integer> runsBySending = new ConcurrentHashMap<>();
 
+    /** When the response to each transfer first began. */
+    private final Map<String, Long> begunNanosBySending = new ConcurrentHashMap<>();
+
     private final Queue<String> violations = new ConcurrentLinkedQueue<>();
     private final Queue<Long> ordinaryWaits = new ConcurrentLinkedQueue<>();
 
@@ -73,6 +79,27 @@
         violate("lost", sending, System.nanoTime() - sentNanos, "after it was sent: " + how);
     }
 
+    /** Records that a request ended too late, whole or not. */
+    void onLateEnd(String sending, long lateNanos, String how) {
+        violate("late end", sending, lateNanos, "after its time: " + how);
+    }
+
+    /** Records that a long response was cut off, or not passed on, although its server went on writing it. */
+    void onCutOff(String sending, long sentNanos, String how) {
+        violate("cut off", sending, System.nanoTime() - sentNanos, "after it was sent: " + how);
+    }
+
+    /** Records that a server has written the beginning of a response that it will go on with. */
+    void onResponseBegun(String sending) {
+        begunNanosBySending.putIfAbsent(sending, System.nanoTime());
+    }
+
+    /** Returns whether the response to this sending began early enough for its first bytes to be in time. */
+    boolean hasBegunBefore(String sending, long deadlineNanos) {
+        Long begunNanos = begunNanosBySending.get(sending);
+        return begunNanos != null && begunNanos <= deadlineNanos - MAX_FORWARDING_NANOS;
+    }
+
     /** Returns whether a server has seen an attempt of this sending. */
     boolean isAttempted(String sending) {
         return runsBySending.containsKey(sending);
--- a/harness/src/main/java/loadbalancer/harness/soak/SoakPlan.java
+++ b/harness/src/main/java/loadbalancer/harness/soak/SoakPlan.java
@@ -1,6 +1,7 @@
 package loadbalancer.harness.soak;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.SplittableRandom;
 
@@ -13,6 +14,7 @@
  * @param crowds the clients that send much at once, in order of time
  * @param replacementsAtMs when the process is replaced
  * @param faults what the platform does to the processes
+ * @param transferClients how many clients have their requests read, or their responses written, slowly
  */
 public record SoakPlan(
         long seed,
@@ -20,10 +22,12 @@
         List<ServerPhase> phases,
         List<Crowd> crowds,
         List<Integer> replacementsAtMs,
-        NodeFaults faults) {
+        NodeFaults faults,
+        int transferClients) {
     /** The number of servers. */
     static final int SERVERS = 8;
 
+    private static final int TRANSFER_CLIENTS = 12;
     private static final int PHASE_MS = 1_500;
     private static final int FIRST_CROWD_MS = 500;
     private static final int CROWD_INTERVAL_MS = 2_500;
@@ -85,7 +89,10 @@
         StringBuilder text = new StringBuilder("replaced at " + replacementsAtMs + "\n");
         crowds.forEach(crowd -> text.append(crowd).append('\n'));
         phases.forEach(phase -> text.append(phase).append('\n'));
-        text.append(faults).append('\n');
+        text.append(faults)
+                .append("\ntransfer clients ")
+                .append(transferClients)
+                .append('\n');
         return text.toString();
     }
 
@@ -93,7 +100,25 @@
     public static SoakPlan withNodeFaults(long seed, int lengthMs) {
         SoakPlan plan = of(seed, lengthMs);
         return new SoakPlan(
-                seed, lengthMs, plan.phases, plan.crowds, plan.replacementsAtMs, NodeFaults.of(seed, lengthMs));
+                seed, lengthMs, plan.phases, plan.crowds, plan.replacementsAtMs, NodeFaults.of(seed, lengthMs), 0);
+    }
+
+    /**
+     * Draws a plan with slow transfers. Every third seed has the crowds and the phases of the servers as well; in the
+     * others all servers serve.
+     */
+    public static SoakPlan withSlowTransfers(long seed, int lengthMs) {
+        SoakPlan plan = of(seed, lengthMs);
+        boolean withCrowds = seed % 3 == 0;
+        List<ServerPhase> serving = List.of(new ServerPhase(0, Collections.nCopies(SERVERS, ServerMode.SERVE)));
+        return new SoakPlan(
+                seed,
+                lengthMs,
+                withCrowds ? plan.phases : serving,
+                withCrowds ? plan.crowds : List.of(),
+                plan.replacementsAtMs,
+                NodeFaults.NONE,
+                TRANSFER_CLIENTS);
     }
 
     /** Draws a plan in which the platform does nothing to the processes but replace them. */
@@ -114,7 +139,7 @@
                 replacements.add(lengthMs * 3 / 4);
             }
         }
-        return new SoakPlan(seed, lengthMs, phases, crowds, replacements, NodeFaults.NONE);
+        return new SoakPlan(seed, lengthMs, phases, crowds, replacements, NodeFaults.NONE, 0);
     }
 
     private static List<ServerMode> modes(SplittableRandom random) {
--- a/harness/src/main/java/loadbalancer/harness/soak/SoakRun.java
+++ b/harness/src/main/java/loadbalancer/harness/soak/SoakRun.java
@@ -68,6 +68,9 @@
         OrdinaryClients ordinary =
                 new OrdinaryClients(platform, ledger, plan.faults().ordinaryClients());
         ordinary.start(random.split());
+        SlowTransferClients transfers = new SlowTransferClients(platform, ledger);
+        // A stream of its own, so that the plans without transfers stay as they are.
+        transfers.start(plan.transferClients(), new SplittableRandom(~plan.seed()));
         Thread phases = SoakThreads.start("server phases", this::playPhases);
         SoakThreads.start("crowds", () -> playCrowds(platform));
         Thread stops = SoakThreads.start("stops", () -> playStops(platform));
@@ -77,6 +80,7 @@
         int replacements = 0;
         while (elapsedMs() < plan.lengthMs() + SETTLE_MS && platform.checkAlive(process)) {
             if (elapsedMs() > plan.lengthMs()) {
+                transfers.stop();
                 ordinary.stop();
             }
             peakMemoryKb = Math.max(peakMemoryKb, SoakPlatform.peakMemoryKb(process));
--- a/harness/src/main/java/loadbalancer/harness/soak/SoakServer.java
+++ b/harness/src/main/java/loadbalancer/harness/soak/SoakServer.java
@@ -66,17 +66,39 @@
     private void serve(Socket socket) throws IOException, InterruptedException {
         InputStream in = new BufferedInputStream(socket.getInputStream());
         while (!awaitEndOfSilence()) {
-            Wire.Message request = Wire.read(in);
+            Wire.Message request = Wire.readHead(in);
             if (request == null || mode == ServerMode.READ_NOTHING) {
                 return;
             }
-            ledger.onAttempt(request.sending(), request.firstByteNanos(), id);
-            if (!respond(request, socket)) {
+            SlowTransfer transfer = SlowTransfer.parse(request.target());
+            if (!(transfer == null ? serveAtOnce(request, in, socket) : serveSlowly(transfer, request, in, socket))) {
                 return;
             }
         }
     }
 
+    private boolean serveAtOnce(Wire.Message request, InputStream in, Socket socket)
+            throws IOException, InterruptedException {
+        Wire.readBody(in, request.headers());
+        ledger.onAttempt(request.sending(), request.firstByteNanos(), id);
+        return respond(request, socket);
+    }
+
+    /** Serves a transfer, unless the mode rejects it. Returns whether the connection may be used again. */
+    private boolean serveSlowly(SlowTransfer transfer, Wire.Message request, InputStream in, Socket socket)
+            throws IOException, InterruptedException {
+        if (!transfer.readBody(in)) {
+            return false;
+        }
+        ledger.onAttempt(request.sending(), request.firstByteNanos(), id);
+        if (mode != ServerMode.SERVE) {
+            return respond(request, socket);
+        }
+        ledger.onRun(request.sending(), transfer.bodyBytes() == 0);
+        transfer.writeResponse(socket, () -> ledger.onResponseBegun(request.sending()));
+        return transfer.framing() != SlowTransfer.Framing.CLOSE;
+    }
+
     /** Returns whether nothing was to be read for a while, after which the connection has to be closed. */
     private boolean awaitEndOfSilence() throws InterruptedException {
         boolean silent = false;
--- a/harness/src/main/java/loadbalancer/harness/soak/Wire.java
+++ b/harness/src/main/java/loadbalancer/harness/soak/Wire.java
@@ -35,6 +35,10 @@
             return target.substring(target.indexOf(SENDING_PARAMETER) + SENDING_PARAMETER.length());
         }
 
+        String target() {
+            return startLine.split(" ")[1];
+        }
+
         String text() {
             return new String(body, StandardCharsets.US_ASCII);
         }
@@ -48,9 +52,14 @@
 
     /** Returns the head of a request. Each sending of a request has its own target and may share its id. */
     static byte[] head(RequestKind kind, String sending, String id, int bodyBytes) {
+        return head(kind, "/api/k" + id.hashCode() % 97, sending, id, bodyBytes);
+    }
+
+    /** Returns the head of a request for this path. */
+    static byte[] head(RequestKind kind, String path, String sending, String id, int bodyBytes) {
         String method = kind.idempotent() ? "GET" : "POST";
         String length = kind.idempotent() ? "" : "Content-Length: " + bodyBytes + "\r\n";
-        return ascii(method + " /api/k" + id.hashCode() % 97 + SENDING_PARAMETER + sending
+        return ascii(method + " " + path + SENDING_PARAMETER + sending
                 + " HTTP/1.1\r\nHost: backend.local\r\nX-Txn: " + id + "\r\nX-Lane: " + kind.name()
                 + "\r\nX-Remaining: " + kind.remainingMs() + "m\r\n" + length + "\r\n");
     }
@@ -66,6 +75,14 @@
 
     /** Reads a message; returns null if the stream ends before its first byte. */
     static Message read(InputStream in) throws IOException {
+        Message head = readHead(in);
+        return head == null
+                ? null
+                : new Message(head.startLine, head.headers, readBody(in, head.headers), head.firstByteNanos);
+    }
+
+    /** Reads a message up to its body; returns null if the stream ends before its first byte. */
+    static Message readHead(InputStream in) throws IOException {
         int first = in.read();
         if (first < 0) {
             return null;
@@ -79,10 +96,14 @@
                     line.substring(0, colon).toLowerCase(Locale.ROOT),
                     line.substring(colon + 1).strip());
         }
-        return new Message(startLine, headers, readBody(in, headers), firstByteNanos);
+        return new Message(startLine, headers, new byte[0], firstByteNanos);
     }
 
-    private static byte[] readBody(InputStream in, Map<String, String> headers) throws IOException {
+    /** Reads the body behind a head. */
+    static byte[] readBody(InputStream in, Map<String, String> headers) throws IOException {
+        if ("chunked".equalsIgnoreCase(headers.get("transfer-encoding"))) {
+            return readChunks(in);
+        }
         int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
         byte[] body = in.readNBytes(length);
         if (body.length < length) {
@@ -91,6 +112,22 @@
         return body;
     }
 
+    private static byte[] readChunks(InputStream in) throws IOException {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        int length = Integer.parseInt(readLine(in), 16);
+        while (length > 0) {
+            byte[] chunk = in.readNBytes(length);
+            if (chunk.length < length) {
+                throw new EOFException("the stream ends within a chunk");
+            }
+            body.write(chunk);
+            readLine(in);
+            length = Integer.parseInt(readLine(in), 16);
+        }
+        readLine(in);
+        return body.toByteArray();
+    }
+
     private static String readLine(InputStream in) throws IOException {
         ByteArrayOutputStream line = new ByteArrayOutputStream();
         for (int next = in.read(); next != '\n'; next = in.read()) {
--- a/harness/src/test/java/loadbalancer/harness/soak/SoakRunTest.java
+++ b/harness/src/test/java/loadbalancer/harness/soak/SoakRunTest.java
@@ -57,6 +57,16 @@
         assertKeepsRules(SoakPlan.withNodeFaults(seed, LENGTH_MS));
     }
 
+    /**
+     * Guards against cutting off long responses that servers write in parts, and against late answers where a response
+     * never ends or a server reads a large request slowly.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void rulesAreKeptWithSlowTransfers(long seed) throws Exception {
+        assertKeepsRules(SoakPlan.withSlowTransfers(seed, LENGTH_MS));
+    }
+
     private void assertKeepsRules(long seed) throws Exception {
         assertKeepsRules(SoakPlan.of(seed, LENGTH_MS));
     }
