Take held input for a request behind the response only once the body has ended

What callers would have seen: 503 for a request whose server begins to respond before the body has ended, where the rest of the body is held: it was taken for a request behind, so that the response was held back, and the timer of the blocked body ended it.

The timer of a body is cancelled now where a response starts, too.

--- a/node/src/main/java/loadbalancer/request/ProxiedRequest.java
+++ b/node/src/main/java/loadbalancer/request/ProxiedRequest.java
@@ -223,7 +223,7 @@
 
     /** Returns whether its client has sent another request behind it, which has to wait for its response. */
     boolean hasRequestBehind() {
-        return client.hasPipelinedInput();
+        return isReceived() && client.hasPipelinedInput();
     }
 
     /**
--- a/node/src/main/java/loadbalancer/request/UpstreamAttempt.java
+++ b/node/src/main/java/loadbalancer/request/UpstreamAttempt.java
@@ -222,7 +222,7 @@
         responseStartedAtUs = services.clock().nowUs();
         startStreaming();
         stream.onResponseStarted(source);
-        if (length >= 0) {
+        if (length >= 0 || !request.isReceived()) {
             deadline.cancel();
         }
         if (request.startResponse(this, length, stream)) {
--- a/node/src/test/java/loadbalancer/process/EndlessResponseTest.java
+++ b/node/src/test/java/loadbalancer/process/EndlessResponseTest.java
@@ -7,6 +7,8 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
@@ -179,6 +181,53 @@
         }
     }
 
+    /** Reads the head of a request, starts a response of unknown length, and ends it once the latch is counted down. */
+    private static void respondEarly(ServerSocket listener, CountDownLatch restAllowed) {
+        try (Socket connection = listener.accept()) {
+            Http.readHead(connection.getInputStream());
+            NodeHarness.write(connection, CHUNKED_HEAD + NodeHarness.chunk("first"));
+            FakeServer.awaitLatch(restAllowed);
+            NodeHarness.write(connection, NodeHarness.chunk("last") + "0\r\n\r\n");
+            connection.getInputStream().readAllBytes();
+        } catch (IOException e) {
+            // The node has closed the connection, which the response shows.
+        }
+    }
+
+    /**
+     * Guards against cutting off a response whose client's time has not begun: a server that reads nothing of a large
+     * body, so that the node stops reading it too, starts to respond, and the client sends the rest of the body later.
+     */
+    @Test
+    void responseThatStartsDuringABlockedBodyIsTimedFromTheEndOfTheBody() throws Exception {
+        int sentBytes = 400_000;
+        String rest = "z".repeat(100_000);
+        CountDownLatch restAllowed = new CountDownLatch(1);
+        try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                NodeHarness harness = observedNode()) {
+            Thread server = new Thread(() -> respondEarly(listener, restAllowed));
+            server.setDaemon(true);
+            server.start();
+            String endpoint = "127.0.0.1:" + listener.getLocalPort();
+            harness.startWithList(NodeHarness.endpointList(1, true, "s0=" + endpoint + "=Ready"));
+            Socket client = harness.connect();
+            Http.Message head = startResponse(
+                    client,
+                    Http.orderRequest("t", DEADLINE_MS + "m")
+                            .replace(
+                                    "Content-Length: 2\r\n\r\nab",
+                                    "Content-Length: " + (sentBytes + rest.length()) + "\r\n\r\n"
+                                            + "a".repeat(sentBytes)));
+            harness.loop
+                    .schedule(() -> {}, 2 * (DEADLINE_MS + LOST_AFTER_MS), TimeUnit.MILLISECONDS)
+                    .sync();
+            NodeHarness.write(client, rest);
+            restAllowed.countDown();
+            assertEquals(
+                    "firstlast", new String(Http.readBody(client.getInputStream(), head), StandardCharsets.US_ASCII));
+        }
+    }
+
     /**
      * Guards against cutting off a large response of known length that starts before the client has sent the whole
      * body. The end of the body starts the deadline, which must not apply to a response that has started.
