Soak: a server that writes a response in parts does not pause after the last one

Reason: the server of the soak slept once more after the last part, before the end of the chunks or its next read.

Change: the pause comes before a part. What is checked and its bounds are as they were.

A small response of unknown length that flows like a large one beyond 0.5 s after its time stays undecidable (docs/incidents).

--- a/harness/src/main/java/loadbalancer/harness/soak/SlowTransfer.java
+++ b/harness/src/main/java/loadbalancer/harness/soak/SlowTransfer.java
@@ -178,11 +178,13 @@
                 + "\r\n\r\n");
         out.write(head);
         for (int written = 0; written < responseBytes; written += partBytes) {
+            if (written > 0) {
+                Thread.sleep(pauseMs);
+            }
             writePart(out, Math.min(partBytes, responseBytes - written));
             if (written == 0) {
                 onBegun.run();
             }
-            Thread.sleep(pauseMs);
         }
         if (endless) {
             Thread.sleep(TimeUnit.MINUTES.toMillis(1));
