Soak: bodies read in parts, partly or answered early, and short stops, in the slow transfers

Reason: the generator had no server that reads with pauses, stops reading, or responds before the body has ended, and no process that is held up.

A late attempt is reported with the time that the client's close took, which tells whether the clock of the check ran ahead.

--- a/harness/src/main/java/loadbalancer/harness/soak/CrowdClient.java
+++ b/harness/src/main/java/loadbalancer/harness/soak/CrowdClient.java
@@ -46,24 +46,30 @@
                     "crowd reader", () -> socket.getInputStream().transferTo(OutputStream.nullOutputStream()));
             Thread.sleep(crowd.leaveAfterMs());
             ledger.leave(connection);
-            leave(socket);
+            leave(connection, socket);
         }
         if (crowd.returning()) {
             comeAgain();
         }
     }
 
-    private void leave(Socket socket) throws IOException, InterruptedException {
+    private void leave(RequestLedger.ClientConnection connection, Socket socket)
+            throws IOException, InterruptedException {
         switch (crowd.departure()) {
             case RESET -> {
                 socket.setSoLinger(true, 0);
                 socket.close();
+                ledger.closed(connection);
             }
             case HALF_CLOSE -> {
                 socket.shutdownOutput();
+                ledger.closed(connection);
                 Thread.sleep(HALF_CLOSED_MS);
             }
-            default -> socket.close();
+            default -> {
+                socket.close();
+                ledger.closed(connection);
+            }
         }
     }
 
--- a/harness/src/main/java/loadbalancer/harness/soak/NodeFaults.java
+++ b/harness/src/main/java/loadbalancer/harness/soak/NodeFaults.java
@@ -39,6 +39,7 @@
     private static final int STOP_SERIES_INTERVAL_MS = 3_000;
     private static final int MIN_STOP_MS = 20;
     private static final int MAX_STOP_MS = 300;
+    private static final int MAX_ALLOWED_STOP_MS = 150;
     private static final int IDLE_INTERVAL_MS = 3_000;
     private static final int MIN_IDLE_CLIENTS = 100;
     private static final int MAX_IDLE_CLIENTS = 600;
@@ -48,6 +49,14 @@
     static final NodeFaults NONE =
             new NodeFaults(DEFAULT_DESCRIPTORS, false, 1, DEFAULT_CLIENTS, List.of(), List.of(), List.of());
 
+    /** Returns no faults but stops that are as long as the platform may hold up a process. */
+    static NodeFaults onlyShortStops(long seed, int lengthMs) {
+        List<Stop> stops = stops(new SplittableRandom(~seed), lengthMs).stream()
+                .map(stop -> new Stop(stop.atMs, Math.min(stop.lengthMs, MAX_ALLOWED_STOP_MS)))
+                .toList();
+        return new NodeFaults(DEFAULT_DESCRIPTORS, false, 1, DEFAULT_CLIENTS, stops, List.of(), List.of());
+    }
+
     /**
      * A time in which the processes do not run.
      *
--- a/harness/src/main/java/loadbalancer/harness/soak/RequestLedger.java
+++ b/harness/src/main/java/loadbalancer/harness/soak/RequestLedger.java
@@ -32,6 +32,8 @@
     static final class ClientConnection {
         /** When the client left; {@link Long#MAX_VALUE} while it is there. */
         private volatile long leftAtNanos = Long.MAX_VALUE;
+        /** When the call that ended the connection had returned; {@link Long#MAX_VALUE} until then. */
+        private volatile long closedAtNanos = Long.MAX_VALUE;
     }
 
     private final long startNanos = System.nanoTime();
@@ -57,6 +59,11 @@
         connection.leftAtNanos = System.nanoTime();
     }
 
+    /** Records that the call that ended the connection has returned; for the report of a violation. */
+    void closed(ClientConnection connection) {
+        connection.closedAtNanos = System.nanoTime();
+    }
+
     /** Records the response to an ordinary request. */
     void onOrdinaryAnswer(String sending, RequestKind kind, long sentNanos, Wire.Message response) {
         ordinaryWaits.add(System.nanoTime() - sentNanos);
@@ -117,7 +124,16 @@
         }
         long delayNanos = beganNanos - client.leftAtNanos;
         if (client.leftAtNanos != Long.MAX_VALUE && delayNanos > MAX_ATTEMPT_DELAY_NANOS) {
-            violate("late attempt", sending, delayNanos, "after its client had left, at " + server);
+            long closeNanos = client.closedAtNanos - client.leftAtNanos;
+            violate(
+                    "late attempt",
+                    sending,
+                    delayNanos,
+                    String.format(
+                            Locale.ROOT,
+                            "after its client had left, which took %.0f ms, at %s",
+                            closeNanos / NANOS_PER_MS,
+                            server));
         }
     }
 
--- a/harness/src/main/java/loadbalancer/harness/soak/SlowTransfer.java
+++ b/harness/src/main/java/loadbalancer/harness/soak/SlowTransfer.java
@@ -20,6 +20,9 @@
  * @param endless whether the response never ends
  * @param bodyBytes the length of the request's body; 0 makes it a GET
  * @param readBytesPerSecond the pace at which the server reads the body
+ * @param readPauseMs the time from one read to the next
+ * @param readBytes how much of the body the server reads before it stops, or before it responds early
+ * @param early whether it responds without reading the rest
  * @param remainingMs how long the client waits after its last byte
  * @param sendBufferBytes the client's send buffer, or 0 for what the system gives
  */
@@ -32,6 +35,9 @@
         boolean endless,
         int bodyBytes,
         int readBytesPerSecond,
+        int readPauseMs,
+        int readBytes,
+        boolean early,
         int remainingMs,
         int sendBufferBytes) {
     /** How the end of a response is marked. */
@@ -45,11 +51,11 @@
     static final int MAX_SMALL_BYTES = 64 << 10;
 
     private static final String PATH = "/api/transfer-";
-    private static final int READ_INTERVAL_MS = 20;
     /** The slowest transfer of the platform's pages. */
     private static final int MIN_BYTES_PER_SECOND = 64_000;
 
     private static final int MAX_BYTES_PER_SECOND = 400_000;
+    private static final int[] READ_PAUSES_MS = {20, 20, 200, 800};
     private static final int[] SEND_BUFFERS = {0, 0, 16 << 10, 256 << 10};
     private static final int[] BODY_BYTES = {0, 0, 0, 80_000, 300_000, 600_000, 900_000};
 
@@ -58,6 +64,10 @@
         int bodyBytes = BODY_BYTES[random.nextInt(BODY_BYTES.length)];
         int remainingMs = random.nextInt(300, kind(bodyBytes).remainingMs());
         int readBytesPerSecond = random.nextInt(MIN_BYTES_PER_SECOND, MAX_BYTES_PER_SECOND);
+        int readPauseMs = READ_PAUSES_MS[random.nextInt(READ_PAUSES_MS.length)];
+        boolean partlyRead = bodyBytes > 0 && random.nextInt(4) == 0;
+        int readBytes = partlyRead ? random.nextInt(bodyBytes) : bodyBytes;
+        boolean early = partlyRead && random.nextBoolean();
         int sendBufferBytes = SEND_BUFFERS[random.nextInt(SEND_BUFFERS.length)];
         Framing framing = Framing.values()[random.nextInt(Framing.values().length)];
         if (random.nextInt(4) == 0) {
@@ -78,6 +88,9 @@
                 false,
                 bodyBytes,
                 readBytesPerSecond,
+                readPauseMs,
+                readBytes,
+                early,
                 remainingMs,
                 sendBufferBytes);
     }
@@ -90,7 +103,8 @@
         int stopBytes = slow ? MAX_SMALL_BYTES / 2 : Math.max(partBytes, random.nextInt(1, 12_000));
         Framing openEnd = framing == Framing.LENGTH ? Framing.CHUNKED : framing;
         int beginMs = random.nextInt(remainingMs - 150);
-        return new SlowTransfer(openEnd, beginMs, partBytes, pauseMs, stopBytes, true, 0, 0, remainingMs, 0);
+        return new SlowTransfer(
+                openEnd, beginMs, partBytes, pauseMs, stopBytes, true, 0, 0, 0, 0, false, remainingMs, 0);
     }
 
     private static RequestKind kind(int bodyBytes) {
@@ -113,7 +127,7 @@
         return PATH
                 + String.format(
                         Locale.ROOT,
-                        "%s-%d-%d-%d-%d-%b-%d-%d-%d-%d",
+                        "%s-%d-%d-%d-%d-%b-%d-%d-%d-%d-%b-%d-%d",
                         framing,
                         beginMs,
                         partBytes,
@@ -122,6 +136,9 @@
                         endless,
                         bodyBytes,
                         readBytesPerSecond,
+                        readPauseMs,
+                        readBytes,
+                        early,
                         remainingMs,
                         sendBufferBytes);
     }
@@ -142,23 +159,30 @@
                 Integer.parseInt(words[6]),
                 Integer.parseInt(words[7]),
                 Integer.parseInt(words[8]),
-                Integer.parseInt(words[9]));
+                Integer.parseInt(words[9]),
+                Boolean.parseBoolean(words[10]),
+                Integer.parseInt(words[11]),
+                Integer.parseInt(words[12]));
     }
 
     // ---------------------------------------------------------------- the server
 
-    /** Reads the body at its pace. Returns false if it does not come whole. */
+    /** Reads the body at its pace, as far as it is read. Returns false if nothing is to be done with it. */
     boolean readBody(InputStream in) throws IOException, InterruptedException {
-        int intervalBytes = Math.max(1, readBytesPerSecond * READ_INTERVAL_MS / 1_000);
-        for (int left = bodyBytes; left > 0; ) {
-            int read = in.readNBytes(Math.min(left, intervalBytes)).length;
+        int partBytes = Math.max(1, readBytesPerSecond * readPauseMs / 1_000);
+        for (int left = readBytes; left > 0; ) {
+            int read = in.readNBytes(Math.min(left, partBytes)).length;
             if (read == 0) {
                 return false;
             }
             left -= read;
-            Thread.sleep(READ_INTERVAL_MS);
+            Thread.sleep(readPauseMs);
+        }
+        boolean stops = readBytes < bodyBytes && !early;
+        if (stops) {
+            Thread.sleep(TimeUnit.MINUTES.toMillis(1));
         }
-        return true;
+        return !stops;
     }
 
     /**
--- a/harness/src/main/java/loadbalancer/harness/soak/SoakPlan.java
+++ b/harness/src/main/java/loadbalancer/harness/soak/SoakPlan.java
@@ -105,7 +105,7 @@
 
     /**
      * Draws a plan with slow transfers. Every third seed has the crowds and the phases of the servers as well; in the
-     * others all servers serve.
+     * others all servers serve. On every second seed the processes are stopped now and then.
      */
     public static SoakPlan withSlowTransfers(long seed, int lengthMs) {
         SoakPlan plan = of(seed, lengthMs);
@@ -117,7 +117,7 @@
                 withCrowds ? plan.phases : serving,
                 withCrowds ? plan.crowds : List.of(),
                 plan.replacementsAtMs,
-                NodeFaults.NONE,
+                seed % 2 == 0 ? NodeFaults.onlyShortStops(seed, lengthMs) : NodeFaults.NONE,
                 TRANSFER_CLIENTS);
     }
 
--- a/harness/src/main/java/loadbalancer/harness/soak/SoakServer.java
+++ b/harness/src/main/java/loadbalancer/harness/soak/SoakServer.java
@@ -3,6 +3,7 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -90,12 +91,21 @@
         if (!transfer.readBody(in)) {
             return false;
         }
-        ledger.onAttempt(request.sending(), request.firstByteNanos(), id);
+        if (!transfer.early()) {
+            ledger.onAttempt(request.sending(), request.firstByteNanos(), id);
+        }
         if (mode != ServerMode.SERVE) {
             return respond(request, socket);
         }
-        ledger.onRun(request.sending(), transfer.bodyBytes() == 0);
+        if (!transfer.early()) {
+            ledger.onRun(request.sending(), transfer.bodyBytes() == 0);
+        }
         transfer.writeResponse(socket, () -> ledger.onResponseBegun(request.sending()));
+        if (transfer.early()) {
+            // A close over unread bytes would reset the connection, and the response with it.
+            in.transferTo(OutputStream.nullOutputStream());
+            return false;
+        }
         return transfer.framing() != SlowTransfer.Framing.CLOSE;
     }
 
