Decide on late responses 0.35 s after the deadline, begin to pass on by the deadline

Cause: the decision left 100 ms of the half second. A node may be held up for 150 ms (STANDING), which deadlines have to allow for.

Change: the decision comes half a second less 150 ms after the deadline, and the time for the rest grows by what has not come by then and a fifth (0.8 s). The first part of a response is passed on by the deadline at the latest, as its first bytes are timed. The balancer hears of a response by its first byte again, not by its head, so that a server that sends nothing but a head counts as unresponsive.

--- a/harness/src/main/java/loadbalancer/harness/soak/RequestLedger.java
+++ b/harness/src/main/java/loadbalancer/harness/soak/RequestLedger.java
@@ -37,6 +37,7 @@
     }
 
     private final long startNanos = System.nanoTime();
+    private final SchedulingLag schedulingLag = new SchedulingLag();
     private final Map<String, ClientConnection> connections = new ConcurrentHashMap<>();
     /** How often each sending that has reached a server has run. */
     private final Map<String, Integer> runsBySending = new ConcurrentHashMap<>();
@@ -47,6 +48,10 @@
     private final Queue<String> violations = new ConcurrentLinkedQueue<>();
     private final Queue<Long> ordinaryWaits = new ConcurrentLinkedQueue<>();
 
+    RequestLedger() {
+        schedulingLag.start();
+    }
+
     // ---------------------------------------------------------------- clients
 
     /** Registers a connection of a client. Its sendings are named by this name and a dot. */
@@ -131,9 +136,10 @@
                     delayNanos,
                     String.format(
                             Locale.ROOT,
-                            "after its client had left, which took %.0f ms, at %s",
+                            "after its client had left, which took %.0f ms, at %s; the soak ran %.0f ms late",
                             closeNanos / NANOS_PER_MS,
-                            server));
+                            server,
+                            schedulingLag.maxNanosSince(client.leftAtNanos) / NANOS_PER_MS));
         }
     }
 
--- a/node/src/main/java/loadbalancer/process/GracefulShutdown.java
+++ b/node/src/main/java/loadbalancer/process/GracefulShutdown.java
@@ -26,7 +26,7 @@
  *   <li>At the shutdown deadline, each request without a response fails. It gets 503 if the balancer never requested an
  *       attempt, else 502, because a server may have run it. Attempts that certainly did not run count as well: those
  *       that were never sent, that found no connection, or that a full server rejected. A response that is being
- *       streamed goes on.
+ *       streamed goes on if it is large or is likely to become so.
  * </ul>
  *
  * <p>The shutdown deadline is shortly before the platform sends SIGKILL. A request that is still open at SIGKILL ends
--- a/node/src/main/java/loadbalancer/request/AttemptDeadline.java
+++ b/node/src/main/java/loadbalancer/request/AttemptDeadline.java
@@ -46,6 +46,11 @@
         return decided;
     }
 
+    /** Returns how much time is left to the client, as far as that is known; 0 if it is over. */
+    long remainingUs() {
+        return Math.max(0, endUs() - services.clock().nowUs());
+    }
+
     /** Sets the timer to {@link #endUs}. */
     void schedule() {
         schedule(endUs(), this::onPassed);
--- a/node/src/main/java/loadbalancer/request/LateResponseRule.java
+++ b/node/src/main/java/loadbalancer/request/LateResponseRule.java
@@ -25,17 +25,20 @@
         COMPLETE
     }
 
-    /** How long after the deadline the decision is made. Leaves 100 ms for the event loop to be late. */
-    static final long DECISION_DELAY_US = 400_000;
+    /**
+     * How long after the deadline the decision is made: half a second less the 150 ms for which the platform may hold
+     * up a process.
+     */
+    static final long DECISION_DELAY_US = 350_000;
 
     /** How long after the deadline a response that goes on has to exceed the limit. */
     static final long MAX_UNDECIDED_US = 10_000_000;
 
     /**
      * The time in which a response has to exceed the limit at its present pace. One that begins at its deadline at 64
-     * kB/s, the slowest transfer on the platform, needs 0.62 s more; the rest allows for parts of unequal size.
+     * kB/s, the slowest transfer on the platform, needs 0.67 s more; the rest allows for parts of unequal size.
      */
-    private static final long MAX_REMAINING_US = 750_000;
+    private static final long MAX_REMAINING_US = 800_000;
 
     /** A body that has arrived within this time is one part, which tells nothing about pauses. */
     private static final long ONE_PART_US = 100_000;
--- a/node/src/main/java/loadbalancer/request/UpstreamAttempt.java
+++ b/node/src/main/java/loadbalancer/request/UpstreamAttempt.java
@@ -248,20 +248,20 @@
         }
         // A response that is cut off would take the requests behind it with it.
         boolean mayBeReplaced = request.hasRequestBehind() && !deadline.isDecided();
-        return mayBeReplaced ? Long.MAX_VALUE : MAX_BUFFERING_US;
+        return mayBeReplaced ? Long.MAX_VALUE : Math.min(MAX_BUFFERING_US, deadline.remainingUs());
     }
 
     @Override
     public void onResponseHead(long length) {
         response = new ResponseProgress(length, services.clock().nowUs());
-        if (length < 0) {
-            notifyBalancer(
-                    balancer -> balancer.onResponseProgress(services.clock().nowUs(), request.id(), number));
-        }
     }
 
     @Override
     public void onResponseBytes(int bytes) {
+        if (response.bytes() == 0 && response.isLengthUnknown()) {
+            notifyBalancer(
+                    balancer -> balancer.onResponseProgress(services.clock().nowUs(), request.id(), number));
+        }
         response.onArrival(bytes, services.clock().nowUs());
     }
 
