--- a/node/src/test/java/loadbalancer/process/SlowResponseTest.java
+++ b/node/src/test/java/loadbalancer/process/SlowResponseTest.java
@@ -1,7 +1,5 @@
 package loadbalancer.process;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.file.Path;
@@ -9,9 +7,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Callable;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.Future;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -120,7 +115,6 @@
      */
     @Test
     void longResponsesWithPausesAreNotCutOff() throws Exception {
-        ExecutorService clients = Executors.newCachedThreadPool();
         List<String> endpoints = new ArrayList<>();
         try {
             for (int i = 0; i < SERVERS; i++) {
@@ -137,14 +131,9 @@
                     IntStream.range(0, RESPONSES.size())
                             .forEach(index -> exchanges.add(() -> exchange(node, framing, index)));
                 }
-                List<String> failures = new ArrayList<>();
-                for (Future<Optional<String>> exchange : clients.invokeAll(exchanges)) {
-                    exchange.get().ifPresent(failures::add);
-                }
-                assertEquals(List.of(), failures);
+                ConcurrentExchanges.assertNoneFails(exchanges);
             }
         } finally {
-            clients.shutdownNow();
             for (FakeServer server : servers) {
                 server.close();
             }
--- a/node/src/test/java/loadbalancer/process/SlowUploadTest.java
+++ b/node/src/test/java/loadbalancer/process/SlowUploadTest.java
@@ -1,7 +1,5 @@
 package loadbalancer.process;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -15,9 +13,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Callable;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -173,7 +168,6 @@
      */
     @Test
     void requestsToServersThatReadSlowlyEndInTime() throws Exception {
-        ExecutorService clients = Executors.newCachedThreadPool();
         List<ServerSocket> servers = new ArrayList<>();
         List<String> endpoints = new ArrayList<>();
         try {
@@ -186,14 +180,9 @@
                     NodeProgram.startWithDescriptors(folder, 512, "127.0.0.1:9", endpoints)) {
                 List<Callable<Optional<String>>> exchanges = new ArrayList<>();
                 IntStream.range(0, UPLOADS.size()).forEach(index -> exchanges.add(() -> exchange(node, index)));
-                List<String> failures = new ArrayList<>();
-                for (Future<Optional<String>> exchange : clients.invokeAll(exchanges)) {
-                    exchange.get().ifPresent(failures::add);
-                }
-                assertEquals(List.of(), failures);
+                ConcurrentExchanges.assertNoneFails(exchanges);
             }
         } finally {
-            clients.shutdownNow();
             for (ServerSocket server : servers) {
                 server.close();
             }
