Poll again before timers where a poll has ended late and without events

Cause: a stop while the loop polls ends the poll with EINTR; its time is over by then, so that it returns without having looked for events, and the timers run ahead of what has arrived. The deadline of the response was among them.

Change: where a poll has ended 20 ms or more after the next timer was due and without events, the loop polls once more without waiting.

Result: LoopLagMeterTest.pollsAgainBeforeTimersIfThePollHasEndedLate fails without the change; MeasuredEventLoopTest and StalledLoopTest pass.

--- a/node/src/main/java/loadbalancer/eventloop/LoopLagMeter.java
+++ b/node/src/main/java/loadbalancer/eventloop/LoopLagMeter.java
@@ -129,14 +129,22 @@
         if (pollContext == null || !pollContext.wraps(context)) {
             pollContext = new WholeMillisecondPollContext(context);
         }
-        int handled = runTurn();
+        long delayNanos = pollContext.delayNanos(nanoTime.getAsLong());
+        long startedAtNanos = nanoTime.getAsLong();
+        int handled = runTurn(pollContext);
+        if (!handledEventInTurn && nanoTime.getAsLong() - startedAtNanos - delayNanos >= MIN_LAG_NANOS) {
+            // The poll has ended long after the next timer was due, and without events: what has arrived by now is
+            // handled before the timer, which may be a deadline.
+            lagging = true;
+            handled = runTurn(new NonBlockingContext(pollContext));
+        }
         endTurn(nanoTime.getAsLong());
         return handled;
     }
 
-    private int runTurn() {
+    private int runTurn(IoHandlerContext context) {
         try {
-            int handled = handler.run(pollContext);
+            int handled = handler.run(context);
             failures.onTurnCompleted();
             return handled;
         } catch (RuntimeException | Error e) {
