Stream responses to large requests written before SIGTERM and read after the grace period

Cause: a response may be streamed in a drain if its request came up to 0.5 s after SIGTERM, and it counted from when the node had read the last byte. A slow server holds that up; the client had written it long before.

Change: it counts from when the client may have written the last byte. The verdict that lets a response go on is named CONTINUE.

--- a/node/src/main/java/loadbalancer/request/LateResponseRule.java
+++ b/node/src/main/java/loadbalancer/request/LateResponseRule.java
@@ -22,7 +22,7 @@
         /** It may go on until the decision, {@link #DECISION_DELAY_US} after the deadline. */
         DECIDE_LATER,
         /** It goes on. */
-        COMPLETE
+        CONTINUE
     }
 
     /**
@@ -50,11 +50,11 @@
 
     /** Decides at the deadline. */
     static Verdict atDeadline(ResponseProgress response) {
-        boolean maySmallBodyBeLate = !response.isLengthUnknown() && !response.isLarge();
-        if (maySmallBodyBeLate) {
+        boolean isKnownToBeSmall = !response.isLengthUnknown() && !response.isLarge();
+        if (isKnownToBeSmall) {
             return Verdict.EXPIRE;
         }
-        return response.isLarge() && response.bytes() > 0 ? Verdict.COMPLETE : Verdict.DECIDE_LATER;
+        return response.isLarge() && response.bytes() > 0 ? Verdict.CONTINUE : Verdict.DECIDE_LATER;
     }
 
     /** Decides {@link #DECISION_DELAY_US} after the deadline, or before it if the process is about to end. */
@@ -63,10 +63,10 @@
             return Verdict.EXPIRE;
         }
         if (response.isLarge()) {
-            return Verdict.COMPLETE;
+            return Verdict.CONTINUE;
         }
         boolean goesOn = !hasStopped(response, nowUs) && remainingUs(response, nowUs) <= MAX_REMAINING_US;
-        return goesOn ? Verdict.COMPLETE : Verdict.EXPIRE;
+        return goesOn ? Verdict.CONTINUE : Verdict.EXPIRE;
     }
 
     private static boolean isOnePart(ResponseProgress response) {
--- a/node/src/main/java/loadbalancer/request/ProxiedRequest.java
+++ b/node/src/main/java/loadbalancer/request/ProxiedRequest.java
@@ -39,8 +39,8 @@
     private RequestState state = RequestState.RECEIVING;
     /** The latest time for the response; {@link Long#MAX_VALUE} until the request has arrived in full. */
     private long deadlineUs = Long.MAX_VALUE;
-    /** When its last byte was read; 0 until then. */
-    private long readAtUs;
+    /** The earliest time at which the client may have written its last byte; 0 until that is read. */
+    private long writtenAtUs;
 
     private final List<UpstreamAttempt> attempts = new ArrayList<>(1);
     /** The number of attempts whose outcome has not been reported to the balancer. */
@@ -93,9 +93,9 @@
         return deadlineUs;
     }
 
-    /** Returns when the last byte of the request was read, which may be later than its arrival. */
-    long readAtUs() {
-        return readAtUs;
+    /** Returns the earliest time at which the client may have written the last byte of the request. */
+    long writtenAtUs() {
+        return writtenAtUs;
     }
 
     boolean isReceived() {
@@ -161,10 +161,10 @@
      * Records that the client has sent the whole request, and starts its deadline. The end of its body was dropped if
      * the response had started. Not called after the request has ended.
      */
-    void setReceived(long newDeadlineUs) {
+    void setReceived(long newWrittenAtUs, long newDeadlineUs) {
+        writtenAtUs = newWrittenAtUs;
         state = state.received();
         deadlineUs = newDeadlineUs;
-        readAtUs = services.clock().nowUs();
         attempts.stream().filter(attempt -> !attempt.isEnded()).forEach(UpstreamAttempt::onRequestReceived);
     }
 
--- a/node/src/main/java/loadbalancer/request/RequestTable.java
+++ b/node/src/main/java/loadbalancer/request/RequestTable.java
@@ -39,7 +39,7 @@
 
     private long lastId;
     private long shutdownDeadlineUs = Long.MAX_VALUE;
-    /** Responses are streamed only to requests that have arrived in full by then. */
+    /** Responses are streamed only to requests that may have been written in full by then. */
     private long streamedUntilUs = Long.MAX_VALUE;
 
     /** @param registry supplies the current request classes when a request arrives */
@@ -57,7 +57,7 @@
      * Prepares for the end of the process. Requests that arrive, or whose bodies end, from now on have to be answered
      * by the shutdown deadline, at which {@link #failPending} will be called.
      *
-     * @param graceEndsAtUs requests that arrive in full later get a buffered response or an error
+     * @param graceEndsAtUs requests that were certainly written later get a buffered response or an error
      * @param deadlineUs the shutdown deadline
      */
     public void setShutdown(long graceEndsAtUs, long deadlineUs) {
@@ -121,15 +121,15 @@
         if (!request.isEnded()) {
             pendingCount++;
             long remainingUs = request.clientRequest().head().remainingUs();
-            request.setReceived(Math.min(shutdownDeadlineUs, arrivedAtUs + remainingUs));
+            request.setReceived(arrivedAtUs, Math.min(shutdownDeadlineUs, arrivedAtUs + remainingUs));
         }
     }
 
     @Override
     public boolean mayStreamResponse(ProxiedRequest request) {
-        long readAtUs =
-                request.isReceived() ? request.readAtUs() : services.clock().nowUs();
-        return readAtUs <= streamedUntilUs;
+        long writtenAtUs =
+                request.isReceived() ? request.writtenAtUs() : services.clock().nowUs();
+        return writtenAtUs <= streamedUntilUs;
     }
 
     @Override
@@ -164,8 +164,8 @@
                 request.isResponseStreamed(),
                 "upload",
                 request.clientRequest().streamedBody() != null,
-                "since_read_ms",
-                (services.clock().nowUs() - request.readAtUs()) / MICROS_PER_MILLI);
+                "since_written_ms",
+                (services.clock().nowUs() - request.writtenAtUs()) / MICROS_PER_MILLI);
     }
 
     /** Ends the attempts whose servers have stalled a streamed request or response for too long. */
--- a/node/src/test/java/loadbalancer/process/GracefulShutdownTest.java
+++ b/node/src/test/java/loadbalancer/process/GracefulShutdownTest.java
@@ -4,6 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
@@ -299,6 +302,48 @@
         }
     }
 
+    /** Reads a request of this length at 500 kB a second, and starts a large response to it. */
+    private static void respondAfterSlowRead(ServerSocket listener, int bodyBytes) {
+        try (Socket connection = listener.accept()) {
+            Http.readHead(connection.getInputStream());
+            for (int read = 0; read < bodyBytes; read += 10_000) {
+                connection.getInputStream().readNBytes(10_000);
+                Thread.sleep(20);
+            }
+            NodeHarness.write(connection, Http.okResponse(new String(LARGE_BODY, StandardCharsets.US_ASCII)));
+            connection.getInputStream().readAllBytes();
+        } catch (IOException | InterruptedException e) {
+            // The node has closed the connection, which the response shows.
+        }
+    }
+
+    /**
+     * Guards against cutting off a large response to a request that was written before SIGTERM, but read long after it,
+     * as its server reads slowly: SIGKILL may cut off such a response, the node must not.
+     */
+    @Test
+    void largeResponseIsStartedToARequestWrittenBeforeSigtermAndReadLater() throws Exception {
+        int bodyBytes = 800_000;
+        try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                NodeHarness harness = NodeHarness.withSilentDiscovery()) {
+            Thread server = new Thread(() -> respondAfterSlowRead(listener, bodyBytes));
+            server.setDaemon(true);
+            server.start();
+            String endpoint = "127.0.0.1:" + listener.getLocalPort();
+            harness.startWithList(NodeHarness.endpointList(1, true, "s0=" + endpoint + "=Ready"));
+            Socket client = harness.connect();
+            NodeHarness.write(
+                    client,
+                    ORDER.replace(
+                            "Content-Length: 2\r\n\r\nab",
+                            "Content-Length: " + bodyBytes + "\r\n\r\n" + "a".repeat(bodyBytes)));
+            harness.drain();
+            Http.Message response = Http.readMessage(client.getInputStream());
+            assertEquals(200, response.status());
+            assertEquals(LARGE_BODY.length, response.body().length());
+        }
+    }
+
     /**
      * Guards against requests that a node takes until it is killed: a response that started before SIGTERM, without
      * Connection: close, ends after the idle connections are closed. Its connection must be closed then.
